--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,93 @@
+// Command adapter hosts instances of the decision module on the bench's wire.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"porthub/choice"
+	"porthub/control"
+	"porthub/wire"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+// host keeps the instances of this process; they share nothing.
+type host struct {
+	instances map[control.Instance]*choice.Instance
+	order     []control.Instance // of the batch, in the order in which they first occur
+	events    map[control.Instance][]control.Event
+}
+
+func serve(in io.Reader, out io.Writer) error {
+	r, w := wire.NewReader(in), wire.NewWriter(out)
+	h := host{instances: map[control.Instance]*choice.Instance{}, events: map[control.Instance][]control.Event{}}
+	for {
+		batch, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		h.turn(batch, w)
+		if err := w.End(); err != nil {
+			return err
+		}
+	}
+}
+
+// turn deals a batch out to its instances and writes what they order.
+func (h *host) turn(batch wire.Batch, w *wire.Writer) {
+	h.order = h.order[:0]
+	for _, ev := range batch.Events {
+		if _, seen := h.events[ev.To]; !seen {
+			h.order = append(h.order, ev.To)
+		}
+		h.events[ev.To] = append(h.events[ev.To], ev.Event)
+	}
+	for _, id := range h.order {
+		events := h.events[id]
+		delete(h.events, id)
+		orders, failed := h.act(id, batch.Now, events)
+		if failed != "" {
+			w.Exception(id, failed)
+			continue
+		}
+		for _, o := range orders {
+			w.Order(id, o)
+		}
+	}
+}
+
+// act runs one instance; its panic becomes a text. Events up to a crash are moot: their orders would die with it.
+func (h *host) act(id control.Instance, now control.Micros, events []control.Event) (orders []control.Order, failed string) {
+	defer func() {
+		if p := recover(); p != nil {
+			orders, failed = nil, fmt.Sprint(p)
+		}
+	}()
+	from := 0
+	for i, ev := range events {
+		switch e := ev.(type) {
+		case wire.Crash:
+			delete(h.instances, id)
+			from = i + 1
+		case control.Up:
+			h.instances[id] = choice.New(e)
+			from = i + 1
+		}
+	}
+	instance := h.instances[id]
+	if instance == nil {
+		return nil, ""
+	}
+	return instance.Take(now, events[from:]), ""
+}
