--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"porthub/control"
@@ -126,19 +128,24 @@
 	}
 }
 
-// steady reports rate reqs a second at each proxy, and done tries at each backend of its zone but the silent ones.
+// steady reports rate reqs a second at each proxy, dealt to the backends by the table of the first kind; silent
+// ones answer nothing.
 func (h *host) steady(rate int, busy float64, answer micros, silent ...control.Backend) func() []control.Event {
 	return func() []control.Event {
 		var events []control.Event
 		for p, z := range []control.Zone{"a", "b", "c"} {
+			id := control.Proxy(p)
 			for k := range control.ReqKind(2) {
-				events = append(events, control.Usage{Proxy: control.Proxy(p), Kind: k, Reqs: rate / 2, Period: second})
+				events = append(events, control.Usage{Proxy: id, Kind: k, Reqs: rate / 2, Period: second})
 			}
-			for _, b := range []control.Backend{"1", "2"} {
-				id := control.Backend(z) + b
-				if len(silent) == 0 || silent[0] != id {
-					events = append(events, control.Heard{Zone: z, Backend: id, Tries: rate / 2, Answer: answer,
-						Period: second, Loads: control.Loads{"busy": busy}})
+			lines, all := h.tables[h.binds[id][0]], 0.0
+			for _, w := range lines {
+				all += w
+			}
+			for _, b := range slices.Sorted(maps.Keys(lines)) {
+				if !slices.Contains(silent, b) {
+					events = append(events, control.Heard{Zone: z, Backend: b, Period: second, Answer: answer,
+						Tries: int(float64(rate)*lines[b]/all + 0.5), Loads: control.Loads{"busy": busy}})
 				}
 			}
 		}
