Levels on usage above the learned speeds, and less let in while answers are late

Cause of the rest: levels waited for slow answers, which come seconds after a burst, and let in all that could be done, so that a queue once built stayed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -276,6 +276,7 @@
 	speed        hist // by busy share: busy seconds and done reqs
 	loads        control.Loads
 	served       float64 // done reqs a second of own proxies
+	answer       float64 // mean answer time, smoothed
 	limit        float64
 	slow         int // slow reports in a row
 	seats        []seat
@@ -350,6 +351,9 @@
 			b.speed.add(busy, busy*end.span, done*end.span, 8)
 		}
 	}
+	if all.tries > all.errored {
+		b.answer += 0.5 * (all.answer/(all.tries-all.errored) - b.answer)
+	}
 	b.capacity(all, !hasBusy || busy > 0.85)
 }
 
@@ -701,7 +705,7 @@
 // treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the fleet, it
 // opens: proxies are unequal and change faster than orders travel, and what one zone has too much another can take.
 func (p *planner) openness(fleet []view, asked []float64) []float64 {
-	const quiet, full = 0.5, 0.7 // use of the fleet at which zones begin to open and are one
+	const quiet, full = 0.6, 0.9 // use of the fleet at which zones begin to open and are one
 	room, load := make([]float64, len(p.zones)), slices.Clone(asked)
 	for _, v := range fleet {
 		if v.ready && v.zone >= 0 {
@@ -757,13 +761,16 @@
 // admission runs the design's price step and F-NORM on each zone's group and publishes the traffic-weighted mean of
 // the groups' levels, only while load is above 90% of the summed capacity and only on moves past the threshold.
 func (p *planner) admission(fleet []view, asked []float64) {
-	capacity, limited := make([]float64, len(p.zones)), false
+	capacity, limited, known := make([]float64, len(p.zones)), false, true
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
 			// One that says it is full, falsely or alone, must not drag all levels down: it counts at least half.
 			c, limited = max(min(v.limit, c), c/2), true
 		}
+		// Answers that come late tell of a queue: let in less than can be done until it has drained, in about 3 s.
+		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(3*second))
+		known = known && v.worked > 2
 		load := v.foreign
 		for z, part := range p.parts[v.id] {
 			load += part * asked[z]
@@ -776,6 +783,8 @@
 	for z := range p.zones {
 		letIn += asked[z] * p.group(z, asked[z], capacity[z])
 	}
+	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
+	limited = limited || known && total > can
 	if !limited || p.levels == control.LevelOff || total <= 0.9*can {
 		letIn = 0
 	}
