--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,6 +68,7 @@
 		zone           int
 		share          float64 // part of its usual work that it may get: cold, or back from trouble
 		served, worked float64 // done reqs and busy seconds; their ratio is its speed
+		did, busy      float64 // reqs a second and busy share of the last round, if both are known
 		limit, foreign float64 // reqs a second: capacity limit, 0 for none; load of other controllers' proxies
 		sick           []bool  // by zone of the proxies
 		speed, room    float64 // the planner's: reqs a second when warm, and of that now
@@ -276,7 +277,9 @@
 	speed        hist // by busy share: busy seconds and done reqs
 	loads        control.Loads
 	served       float64 // done reqs a second of own proxies
+	did, busy    float64 // the last round's reqs a second and busy share, if both are known
 	answer       float64 // mean answer time, smoothed
+	foreign      float64 // load of other controllers' proxies
 	limit        float64
 	slow         int // slow reports in a row
 	seats        []seat
@@ -340,6 +343,7 @@
 		s.tries, s.errored, s.answer = 0, 0, 0
 	}
 	done := (all.tries - all.errored) / end.span
+	b.did, b.busy = 0, 0
 	b.served += 0.5 * (done - b.served)
 	busy, hasBusy := b.loads["busy"]
 	if rate, told := b.loads["rate"]; told || end.all {
@@ -348,13 +352,18 @@
 		}
 		if busy > 0.05 && b.warmth(now) == 1 {
 			// Learned only warm and while all its load is known: else it would pass for slow for long.
-			b.speed.add(busy, busy*end.span, done*end.span, 8)
+			b.speed.add(busy, busy*end.span, done*end.span, 12)
+			b.did, b.busy = done, busy
 		}
 	}
 	if all.tries > all.errored {
 		b.answer += 0.5 * (all.answer/(all.tries-all.errored) - b.answer)
 	}
 	b.capacity(all, !hasBusy || busy > 0.85)
+	if rate, told := b.loads["rate"]; told {
+		b.foreign = max(0, rate-b.served)
+	}
+	b.loads = nil
 }
 
 // capacity keeps the design's rule: no limit until slow for three reports, then what it served, raised as it serves
@@ -426,7 +435,7 @@
 
 func (b *backend) tell(now micros) {
 	v := view{backend: b, zone: slices.Index(b.zones, b.entry.Zone), ready: b.entry.Status == control.Ready,
-		share: b.share(now), limit: b.limit, foreign: max(0, b.loads["rate"]-b.served)}
+		share: b.share(now), did: b.did, busy: b.busy, limit: b.limit, foreign: b.foreign}
 	v.worked, v.served = b.speed.total()
 	for _, s := range b.seats {
 		v.sick = append(v.sick, s.sick)
@@ -544,7 +553,9 @@
 	prices      []float64 // by zone group
 	letIn       float64   // published: reqs a second in all; 0: open
 	blind       []bool    // by zone: sick marks are passed over
+	pace        float64   // what the fleet does now against the speeds learned
 	due, urgent bool
+	fresh       bool // a round has ended since the last plan
 }
 
 // kindSet is the request kinds that may go to the same zones; each has a table for each zone's proxies.
@@ -558,7 +569,7 @@
 	levels control.LevelKind) *planner {
 	n := len(zones)
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels,
-		views: map[control.Backend]view{}, tries: make([]float64, n), blind: make([]bool, n),
+		views: map[control.Backend]view{}, tries: make([]float64, n), blind: make([]bool, n), pace: 1,
 		prices: slices.Repeat([]float64{1}, n)} // the paper's and the design's start
 	for k, kind := range kinds {
 		s := slices.IndexFunc(p.sets, func(s kindSet) bool {
@@ -595,6 +606,10 @@
 			p.put(planNow{}) // in the next pass, when the other parts have told all they have in this one
 		}
 	case planNow:
+		if p.fresh {
+			p.fresh = false
+			p.gauge()
+		}
 		p.plan()
 		p.due, p.urgent = false, false
 	}
@@ -610,7 +625,20 @@
 		p.views[id].put(end)
 	}
 	clear(p.tries)
-	p.errored = 0
+	p.errored, p.fresh = 0, true
+}
+
+// gauge follows how the whole fleet does against the speeds learned one by one: what slows all backends at once, or
+// makes all reqs dearer, shows here within a round, long before each has learned it, and is gone as fast.
+func (p *planner) gauge() {
+	did, meant := 0.0, 0.0
+	for _, v := range p.fleet() {
+		did += v.did
+		meant += v.speed / p.pace * v.busy
+	}
+	if meant > 0 {
+		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
+	}
 }
 
 // fleet lists the backends with their speeds: what they did in a busy second and, while little is known, what
@@ -630,7 +658,7 @@
 	for i := range fleet {
 		v := &fleet[i]
 		const prior = 2 // busy seconds that the listed weight counts for
-		v.speed = (v.served + prior*unit*max(v.entry.Weight, 1e-3)) / (v.worked + prior)
+		v.speed = (v.served + prior*unit*max(v.entry.Weight, 1e-3)) / (v.worked + prior) * p.pace
 		v.room = v.speed * v.share
 		if v.ready {
 			ready += v.speed
