Failback: no lines for cold backends while the fleet is strained or nothing is known after a crash

Cause, seen in the order trace: a crashed coordinator started over with its saved list and bound proxies to newly started backends at full weight; joins held back the correction; and where all others are full or shunned, a line of even a twentieth of the usual weight gets all second tries. Now it waits up to two beats for a newer list, joins don't delay changes, levels stand until four rounds of reports, cold ones get 0.7 of their part divided by the strain, and nothing above a strain of 1.5.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,6 +56,7 @@
 	beat     struct{ span float64 } // a round is over; seconds since the last with reports, 0: none came
 	think    struct{ urgent bool }
 	planNow  struct{}
+	settled  struct{}
 	roundEnd struct { // planner to a backend: judge what you heard
 		expect  []float64 // tries that its lines should have brought, by zone of the proxies
 		errored float64   // part of all tries that erred
@@ -115,7 +116,7 @@
 	r := up.Rules
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
 	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels)
-	roll := newRoll(out, up.MustAsk, up.Seed, func(id control.Backend) *backend {
+	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target)
 	})
 	return &Instance{out: out, period: period, roll: roll,
@@ -197,6 +198,7 @@
 type roll struct {
 	inbox
 	out         *outbox
+	planner     *planner
 	ask         bool // the list answers only when asked
 	seed, draws uint64
 	fails       int
@@ -205,8 +207,8 @@
 	order       []*backend
 }
 
-func newRoll(out *outbox, ask bool, seed uint64, actor func(control.Backend) *backend) *roll {
-	return &roll{out: out, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{}}
+func newRoll(out *outbox, p *planner, ask bool, seed uint64, actor func(control.Backend) *backend) *roll {
+	return &roll{out: out, planner: p, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{}}
 }
 
 // chance draws from 0 to under 1.
@@ -243,7 +245,9 @@
 		r.out.add(control.Sleep{After: after, Token: listToken})
 		return
 	}
-	r.fails = 0
+	if r.fails = 0; list.How != control.ListSaved {
+		r.planner.put(settled{})
+	}
 	seen := map[control.Backend]bool{}
 	for _, e := range list.Entries {
 		seen[e.Backend] = true
@@ -553,7 +557,10 @@
 	prices      []float64 // by zone group
 	letIn       float64   // published: reqs a second in all; 0: open
 	blind       []bool    // by zone: sick marks are passed over
+	use, erring float64   // the fleet's load over its room, the part of its tries that err
 	pace        float64   // what the fleet does now against the speeds learned
+	rounds      int       // rounds with reports so far
+	waits       int       // beats to wait for a list newer than the saved one
 	due, urgent bool
 	fresh       bool // a round has ended since the last plan
 }
@@ -569,7 +576,7 @@
 	levels control.LevelKind) *planner {
 	n := len(zones)
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels,
-		views: map[control.Backend]view{}, tries: make([]float64, n), blind: make([]bool, n), pace: 1,
+		views: map[control.Backend]view{}, tries: make([]float64, n), blind: make([]bool, n), pace: 1, waits: 2,
 		prices: slices.Repeat([]float64{1}, n)} // the paper's and the design's start
 	for k, kind := range kinds {
 		s := slices.IndexFunc(p.sets, func(s kindSet) bool {
@@ -595,7 +602,10 @@
 			p.tries[z] += float64(n.Tries)
 			p.errored += float64(n.Errored)
 		}
+	case settled:
+		p.waits = 0
 	case beat:
+		p.waits--
 		if n.span > 0 {
 			p.endRound(n.span)
 		}
@@ -610,7 +620,11 @@
 			p.fresh = false
 			p.gauge()
 		}
-		p.plan()
+		// A list saved before a crash may name the dead and the newly started as well: until a newer one comes, for
+		// two beats at most, the proxies keep what they hold.
+		if p.waits <= 0 {
+			p.plan()
+		}
 		p.due, p.urgent = false, false
 	}
 }
@@ -624,8 +638,10 @@
 		}
 		p.views[id].put(end)
 	}
+	p.erring += 0.5 * (p.errored/max(sum(p.tries), 1) - p.erring)
 	clear(p.tries)
 	p.errored, p.fresh = 0, true
+	p.rounds++
 }
 
 // gauge follows how the whole fleet does against the speeds learned one by one: what slows all backends at once, or
@@ -646,20 +662,31 @@
 // the listed speed looks well from a zone, the fault is likelier on the way or in the reports, and all lines stay.
 func (p *planner) fleet() []view {
 	var fleet []view
-	worked, served := 1.0, 1.0
+	worked, served, asked := 1e-9, 0.0, 0.0
+	for _, f := range p.flows {
+		asked += f.total
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		v := p.views[id]
 		fleet = append(fleet, v)
-		worked += v.worked * max(v.entry.Weight, 1e-3)
-		served += v.served
+		// while little is known, a ready fleet is taken to be used by two thirds
+		worked += (v.worked + 0.3) * max(v.entry.Weight, 1e-3)
+		served += v.served + 0.3*1.5*max(asked, 1)/float64(len(p.views))
 	}
 	unit := served / worked // reqs a second for a listed weight of 1
+	strain := max(1, p.use) / (1.01 - min(1, p.erring))
 	well, ready := make([]float64, len(p.zones)), 0.0
 	for i := range fleet {
 		v := &fleet[i]
 		const prior = 2 // busy seconds that the listed weight counts for
 		v.speed = (v.served + prior*unit*max(v.entry.Weight, 1e-3)) / (v.worked + prior) * p.pace
-		v.room = v.speed * v.share
+		if v.room = v.speed * v.share; v.share < 1 {
+			// All proxies together must not push a cold one over. Where the others are full, second tries and
+			// what shuns them all come on top of its weight; just after a crash nothing is known of that.
+			if v.room *= 0.7 / strain; strain > 1.5 || p.rounds < 4 {
+				v.room = 0
+			}
+		}
 		if v.ready {
 			ready += v.speed
 			for z := range p.zones {
@@ -725,7 +752,10 @@
 		}
 	}
 	p.admission(fleet, asked)
-	w.admits = p.deal()
+	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known again.
+	if p.rounds >= 4 {
+		w.admits = p.deal()
+	}
 	p.channel.put(w)
 }
 
@@ -744,6 +774,7 @@
 		}
 	}
 	use, open := sum(load)/max(sum(room), 1e-9), make([]float64, len(p.zones))
+	p.use = use
 	for z := range p.zones {
 		open[z] = min(1, max(0, (use-quiet)/(full-quiet)))
 		rest := sum(room) - room[z]
@@ -985,7 +1016,9 @@
 func (c *channel) send(now micros, w want) {
 	cost := map[control.Proxy]float64{}
 	if c.free(now, w.urgent) {
-		c.change(w, cost)
+		if c.change(w, cost); len(cost) > 0 {
+			c.lastSent = now
+		}
 	}
 	for _, p := range slices.Sorted(maps.Keys(w.binds)) {
 		s, tables := c.joined[p], w.binds[p]
@@ -1005,7 +1038,7 @@
 		}
 	}
 	if len(cost) > 0 {
-		c.lastSent, c.mark = now, (c.mark+1)%65536
+		c.mark = (c.mark + 1) % 65536
 		c.out.add(control.Marked{Mark: c.mark})
 		for p, n := range cost {
 			s := c.joined[p]
