--- a/choice/choice.go
+++ b/choice/choice.go
@@ -410,7 +410,7 @@
 		}
 	default:
 		s.against += max(s.tries, expect)
-		if s.against > 6/((1.01-fleet)*(1.01-fleet)) { // by chance under 1 in 400; more where all err
+		if s.against > 12/((1.01-fleet)*(1.01-fleet)) { // by chance under 1 in 400; more where all err
 			s.sick, s.backoff = true, min(max(2*second, 2*s.backoff), 8*second)
 			s.retryAt = now + s.backoff
 			b.out.log("%s sick from %s: of about %.0f tries in a row none was done", b.id, b.zones[z], s.against)
