--- a/choice/choice.go
+++ b/choice/choice.go
@@ -117,7 +117,7 @@
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
 	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels)
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
-		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target)
+		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target, period)
 	})
 	return &Instance{out: out, period: period, roll: roll,
 		parts: []part{roll, newBook(pl, up.Zones, len(up.Kinds)), pl, ch}}
@@ -270,25 +270,25 @@
 // backend is the actor of one backend: what is known of it and how it is judged.
 type backend struct {
 	inbox
-	id           control.Backend
-	out          *outbox
-	planner      *planner
-	zones        []control.Zone
-	cold, target micros
-	coldFrom     float64
-	probes       bool
-	entry        control.Entry
-	speed        hist // by busy share: busy seconds and done reqs
-	loads        control.Loads
-	served       float64 // done reqs a second of own proxies
-	did, busy    float64 // the last round's reqs a second and busy share, if both are known
-	answer       float64 // mean answer time, smoothed
-	foreign      float64 // load of other controllers' proxies
-	limit        float64
-	slow         int // slow reports in a row
-	seats        []seat
-	backAt       micros // when it last came back from trouble; 0: never
-	wellAt       micros // when a probe last went well
+	id                   control.Backend
+	out                  *outbox
+	planner              *planner
+	zones                []control.Zone
+	cold, target, period micros
+	coldFrom             float64
+	probes               bool
+	entry                control.Entry
+	speed                hist // by busy share: busy seconds and done reqs
+	loads                control.Loads
+	served               float64 // done reqs a second of own proxies
+	did, busy            float64 // the last round's reqs a second and busy share, if both are known
+	answer               float64 // mean answer time, smoothed
+	foreign              float64 // load of other controllers' proxies
+	limit                float64
+	slow                 int // slow reports in a row
+	seats                []seat
+	backAt               micros // when it last came back from trouble; 0: never
+	wellAt               micros // when a probe last went well
 }
 
 // seat is what the proxies of one zone see of a backend.
@@ -300,9 +300,9 @@
 }
 
 func newBackend(id control.Backend, out *outbox, p *planner, zones []control.Zone, cold micros,
-	coldFrom float64, probes bool, target micros) *backend {
+	coldFrom float64, probes bool, target, period micros) *backend {
 	return &backend{id: id, out: out, planner: p, zones: zones, cold: cold, coldFrom: coldFrom, probes: probes,
-		target: target, speed: newHist(0.5, 0.8, 0.95), seats: make([]seat, len(zones))}
+		target: target, period: period, speed: newHist(0.5, 0.8, 0.95), seats: make([]seat, len(zones))}
 }
 
 func (b *backend) take(now micros, n note) {
@@ -827,8 +827,8 @@
 			// One that says it is full, falsely or alone, must not drag all levels down: it counts at least half.
 			c, limited = max(min(v.limit, c), c/2), true
 		}
-		// Answers that come late tell of a queue: let in less than can be done until it has drained, in about 3 s.
-		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(3*second))
+		// Answers that come late tell of a queue: let in less than can be done until it has drained, in four periods of reports.
+		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(4*v.period))
 		known = known && v.worked > 2
 		load := v.foreign
 		for z, part := range p.parts[v.id] {
@@ -904,13 +904,17 @@
 	if p.letIn > 0 {
 		drop = max(0, sum(usage)-p.letIn)
 	}
+	second := 1 // on proof that the first never ran: suits every kind
+	if p.letIn > 0 || p.erring > 0.2 {
+		second = 0 // where many are full a second try only fills another
+	}
 	admits := make([]control.Admit, len(p.kinds))
 	for _, payoff := range slices.Sorted(maps.Keys(payoffs)) {
 		away := min(0.9, drop/max(payoffs[payoff], 1e-9)) // a tenth of each kind still comes: none starves
 		drop -= away * payoffs[payoff]
 		for k, kind := range p.kinds {
-			if kind.Payoff == payoff { // second try 1, on proof that the first never ran, suits every kind
-				admits[k] = control.Admit{Table: control.AllTables, Kinds: 1 << k, SecondTry: 1,
+			if kind.Payoff == payoff {
+				admits[k] = control.Admit{Table: control.AllTables, Kinds: 1 << k, SecondTry: second,
 					Level: p.level(k, away, usage[k])}
 			}
 		}
