--- /dev/null
+++ b/choice/parts.go
@@ -0,0 +1,361 @@
+package choice
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"slices"
+
+	"porthub/control"
+)
+
+// This file has the parts' state and how notes get from one to another. What the parts do is in choice.go.
+
+type micros = control.Micros
+
+const (
+	second    micros        = 1_000_000
+	beatToken control.Token = 1
+	listToken control.Token = 2
+)
+
+// Notes between the parts; events are notes too.
+type (
+	note any
+	wake struct{}               // ask for the list
+	beat struct{ span float64 } // a round is over; seconds since the last with reports, 0: none came
+	heed struct{}               // all parts have told what they had to: plan
+
+	settled  struct{} // a list newer than the saved one has come
+	roundEnd struct { // planner to a backend: judge what you heard
+		expect        []float64 // tries that its lines should have brought, by zone of the proxies
+		errored, span float64   // part of all tries that erred; seconds
+		all           bool      // every known proxy is joined: what is heard is all there is
+	}
+	view struct { // a backend to the planner: how it stands
+		backend     // a copy
+		box         *inbox
+		ready       bool
+		zone        int
+		share       float64 // part of its usual work that it may get: cold, or back from trouble
+		sick        []bool  // by zone of the proxies
+		worth, room float64 // the planner's: reqs a second when warm, and of that now
+		urgent      bool
+	}
+	flow struct { // a proxy and its usage, reqs a second, by request kind and in all
+		proxy         control.Proxy
+		zone          int
+		usage, round  []float64 // round: reqs heard of in this round
+		total         float64
+		joined, known bool
+	}
+	demand struct { // book to the planner: the joined proxies
+		flows       []flow
+		all, urgent bool
+	}
+	line struct {
+		backend control.Backend
+		weight  float64
+	}
+	want struct { // planner to the channel: how the proxies should stand
+		lines  [][]line // by table
+		homes  map[control.Proxy]control.Table
+		admits []control.Admit
+		urgent bool
+	}
+)
+
+type inbox struct{ notes []note }
+
+func (b *inbox) put(n note) { b.notes = append(b.notes, n) }
+
+func (b *inbox) empty() []note {
+	notes := b.notes
+	b.notes = nil
+	return notes
+}
+
+type part interface {
+	put(n note)
+	empty() []note
+	take(now micros, n note)
+}
+
+// outbox gathers the orders of one Take.
+type outbox struct{ orders []control.Order }
+
+func (o *outbox) add(order control.Order) { o.orders = append(o.orders, order) }
+
+func (o *outbox) log(format string, args ...any) {
+	o.add(control.Log{Text: fmt.Sprintf(format, args...)})
+}
+
+// Instance is one coordinator's decisions.
+type Instance struct {
+	out           *outbox
+	roll          *roll
+	planner       *planner
+	parts         []part
+	period, round micros // of the reports; when the last round with reports ended
+	heard, awake  bool
+}
+
+// New starts an instance.
+func New(up control.Up) *Instance {
+	out, r, period := &outbox{}, up.Rules, max(up.Reports.Period, second/10)
+	var target micros
+	for _, k := range up.Kinds {
+		target += k.ResponseTarget / micros(len(up.Kinds))
+	}
+	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
+	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels)
+	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
+		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target, period)
+	})
+	return &Instance{out: out, roll: roll, planner: pl, period: period,
+		parts: []part{roll, newBook(pl, up.Zones, len(up.Kinds)), pl, ch}}
+}
+
+// Take tells the instance what has happened by now and returns what it wants done.
+func (in *Instance) Take(now micros, events []control.Event) []control.Order {
+	in.out.orders = nil
+	if !in.awake {
+		in.awake = true
+		events = append([]control.Event{wake{}, control.Ring{Token: beatToken}}, events...)
+	}
+	for _, ev := range events {
+		switch e := ev.(type) {
+		case control.Heard, control.Usage:
+			in.heard = true
+		case control.Ring:
+			if ev = (wake{}); e.Token == beatToken {
+				in.out.add(control.Sleep{After: in.period, Token: beatToken})
+				b := beat{}
+				if in.heard { // after a gap, a round is at most four periods
+					b.span = float64(now-max(in.round, now-4*in.period)) / float64(second)
+					in.round, in.heard = now, false
+				}
+				ev = b
+			}
+		}
+		for _, p := range in.parts {
+			p.put(ev)
+		}
+	}
+	in.run(now)
+	in.planner.put(heed{})
+	in.run(now)
+	return in.out.orders
+}
+
+// run empties the inboxes, round after round, until none has a note.
+func (in *Instance) run(now micros) {
+	for busy := true; busy; {
+		busy = false
+		parts := in.parts
+		for _, b := range in.roll.order {
+			parts = append(parts, b)
+		}
+		for _, p := range parts {
+			for _, n := range p.empty() {
+				busy = true
+				p.take(now, n)
+			}
+		}
+	}
+}
+
+// hist is a small histogram over 0 to 1 and above: by coarse bin a weight and a sum, halved when full.
+type hist [4]struct{ n, sum float64 }
+
+func (h *hist) add(at, n, sum, full float64) {
+	bin := &h[min(3, int(4*at))]
+	bin.n, bin.sum = bin.n+n, bin.sum+sum
+	if all, _ := h.total(); all > full {
+		for i := range h {
+			h[i].n, h[i].sum = h[i].n/2, h[i].sum/2
+		}
+	}
+}
+
+func (h *hist) total() (n, sum float64) {
+	for _, bin := range h {
+		n, sum = n+bin.n, sum+bin.sum
+	}
+	return n, sum
+}
+
+// roll follows the list and keeps the actors, in the order in which they were first listed.
+type roll struct {
+	inbox
+	out         *outbox
+	planner     *planner
+	ask         bool // the list answers only when asked
+	seed, draws uint64
+	fails       int
+	actor       func(control.Backend) *backend
+	actors      map[control.Backend]*backend
+	order       []*backend
+}
+
+func newRoll(out *outbox, p *planner, ask bool, seed uint64, actor func(control.Backend) *backend) *roll {
+	return &roll{out: out, planner: p, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{}}
+}
+
+// chance draws from 0 to under 1.
+func (r *roll) chance() float64 {
+	r.draws++
+	key := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.draws)
+	return float64(crc32.ChecksumIEEE(key)) / (1 << 32)
+}
+
+func (r *roll) pass(id control.Backend, n note) {
+	if b := r.actors[id]; b != nil {
+		b.put(n)
+	}
+}
+
+// backend is the actor of one backend: what is known of it and how it is judged.
+type backend struct {
+	inbox
+	id                   control.Backend
+	out                  *outbox
+	planner              *planner
+	zones                []control.Zone
+	cold, target, period micros
+	coldFrom             float64
+	probes               bool
+	entry                control.Entry
+	seats                []seat
+	loads                control.Loads // as told this round
+	speed                hist          // by busy share: busy seconds and done reqs
+	did, busy            float64       // the last round's reqs a second and busy share, if both are known
+	served, foreign      float64       // reqs a second: done for own proxies, load of other controllers'
+	answer               float64       // mean answer time
+	limit                float64       // reqs a second; 0: no capacity limit
+	slow                 int           // slow reports in a row
+	backAt, wellAt       micros        // when it last came back from trouble, when a probe last went well
+}
+
+// seat is what the proxies of one zone see of a backend.
+type seat struct {
+	tries, errored, answer float64 // this round
+	against                float64 // tries, or tries missed, since one was done
+	sick                   bool
+	retryAt, backoff       micros
+}
+
+func newBackend(id control.Backend, out *outbox, p *planner, zones []control.Zone, cold micros,
+	coldFrom float64, probes bool, target, period micros) *backend {
+	return &backend{id: id, out: out, planner: p, zones: zones, cold: cold, coldFrom: coldFrom, probes: probes,
+		target: target, period: period, seats: make([]seat, len(zones))}
+}
+
+// book keeps the proxies and what comes to them.
+type book struct {
+	inbox
+	planner *planner
+	zones   []control.Zone
+	kinds   int
+	flows   map[control.Proxy]*flow
+}
+
+func newBook(p *planner, zones []control.Zone, kinds int) *book {
+	return &book{planner: p, zones: zones, kinds: kinds, flows: map[control.Proxy]*flow{}}
+}
+
+func sum(values []float64) float64 {
+	all := 0.0
+	for _, v := range values {
+		all += v
+	}
+	return all
+}
+
+// planner decides the tables, the prices and the levels.
+type planner struct {
+	inbox
+	out         *outbox
+	channel     *channel
+	zones       []control.Zone
+	kinds       []control.KindSettings
+	levels      control.LevelKind
+	sets        []kindSet
+	views       map[control.Backend]view
+	flows       []flow
+	parts       map[control.Backend][]float64 // of a zone's tries, by zone of the proxies
+	tries       []float64                     // heard this round, by zone of the proxies
+	prices      []float64                     // by zone group
+	blind       []bool                        // by zone: sick marks are passed over
+	errored     float64                       // tries of this round
+	pace        float64                       // what the fleet does now against the speeds learned one by one
+	use, erring float64                       // the fleet's load over its room, the part of its tries that err
+	letIn       float64                       // published: reqs a second in all; 0: open
+	rounds      int                           // with reports so far
+	waits       int                           // beats to wait for a list newer than the saved one
+	all         bool                          // every known proxy is joined
+	due, urgent bool
+	fresh       bool // a round has ended since the last plan
+}
+
+// kindSet is the request kinds that may go to the same zones; each has a table for each zone's proxies.
+type kindSet struct {
+	mask control.Kinds
+	only []control.Zone
+	own  bool
+}
+
+func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
+	levels control.LevelKind) *planner {
+	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, waits: 2, pace: 1,
+		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones)),
+		prices: slices.Repeat([]float64{1}, len(zones))} // the paper's start
+	for k, kind := range kinds {
+		s := slices.IndexFunc(p.sets, func(s kindSet) bool {
+			return slices.Equal(s.only, kind.OnlyZones) && s.own == kind.OwnZone
+		})
+		if s < 0 {
+			s = len(p.sets)
+			p.sets = append(p.sets, kindSet{only: kind.OnlyZones, own: kind.OwnZone})
+		}
+		p.sets[s].mask |= 1 << k
+	}
+	for _, set := range p.sets {
+		ch.masks = append(ch.masks, set.mask)
+	}
+	return p
+}
+
+// channel sends what differs from what the proxies hold, within the limits on lines and messages.
+type channel struct {
+	inbox
+	out                *outbox
+	queueCap, envelope float64
+	most               int // messages to one proxy in the span; 0: no limit
+	span, period       micros
+	masks              []control.Kinds // of the kind sets: a zone's tables follow each other in this order
+	tables             map[control.Table]map[control.Backend]float64
+	admits             map[control.Kinds]control.Admit
+	streams            map[control.Proxy]*stream
+	mark               control.Mark
+	lastSent           micros
+}
+
+// stream is what the channel knows of one proxy.
+type stream struct {
+	home   control.Table // the first of its tables; -1: not bound
+	sent   []micros      // times of the messages in the span
+	unsaid []posted      // messages that it has not acknowledged
+	cost   float64       // lines of this turn
+}
+
+type posted struct {
+	mark  control.Mark
+	lines float64
+}
+
+func newChannel(out *outbox, queueCap, envelope float64, most int, span, period micros) *channel {
+	return &channel{out: out, queueCap: queueCap, envelope: envelope, most: most, span: span, period: period,
+		tables: map[control.Table]map[control.Backend]float64{}, admits: map[control.Kinds]control.Admit{},
+		streams: map[control.Proxy]*stream{}}
+}
