--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -35,12 +35,279 @@
 	if w, has := h.tables[0]["a1"]; has {
 		t.Fatalf("the silent backend still has weight %.2f", w)
 	}
+	h.pass(3*second, h.steady(20, 0.4, 200_000, "a1"))
 	if h.count["probe"] == 0 {
 		t.Fatal("nobody probed it")
 	}
 	h.tell(control.Probed{Backend: "a1", OK: true})
-	h.pass(2*second, h.steady(20, 0.4, 200_000, "a1"))
+	h.pass(2*second, h.steady(20, 0.4, 200_000))
 	if w := h.tables[0]["a1"]; w == 0 || w > full/2 {
 		t.Errorf("back with weight %.2f, want a small part of %.2f", w, full)
 	}
+	h.pass(20*second, h.steady(20, 0.4, 200_000))
+	if w := h.tables[0]["a1"]; w < 0.8*full {
+		t.Errorf("long after it has weight %.2f, want about %.2f", w, full)
+	}
+}
+
+// Most backends fall silent to one zone at once: the way there is at fault, and its tables must not be emptied.
+func TestMostLookSickKeepsLines(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(12*second, h.steady(60, 0.3, 400_000))
+	if n := len(h.tables[h.binds[0][0]]); n < 6 {
+		t.Fatalf("the full fleet is not open: %d lines", n)
+	}
+	h.pass(20*second, h.steady(60, 0.3, 400_000, "a2", "b1", "b2", "c1", "c2"))
+	for p, tables := range h.binds {
+		if len(h.tables[tables[0]]) < 2 {
+			t.Errorf("proxy %d is left with lines %v", p, h.tables[tables[0]])
+		}
+	}
+}
+
+// When all that is left has just started, it still gets lines.
+func TestOnlyColdBackendsLeft(t *testing.T) {
+	h := start(t, nil)
+	cold := ready("a", "a1", "a2")
+	cold[0].Launched, cold[1].Launched = h.now-second, h.now-second
+	h.tell(control.List{How: control.ListFull, Entries: cold}, control.Joined{Proxy: 0, Zone: "b", Weight: 20})
+	h.pass(second, nil)
+	if lines := h.tables[h.binds[0][0]]; len(lines) != 2 {
+		t.Errorf("lines %v", lines)
+	}
+}
+
+// A backend that drains leaves all tables at once, and proxies that join later never get it.
+func TestDrainedBackendLeavesAllTables(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(5*second, h.steady(20, 0.8, 200_000))
+	drain := ready("a", "a1")
+	drain[0].Status = control.Draining
+	h.tell(control.List{How: control.ListChanges, Entries: drain})
+	h.pass(second, nil)
+	h.tell(control.Joined{Proxy: 9, Zone: "a", Fresh: true, Weight: 3})
+	h.pass(second, h.steady(20, 0.8, 200_000))
+	for table, lines := range h.tables {
+		if w, has := lines["a1"]; has {
+			t.Errorf("table %d still has the draining backend at %.2f", table, w)
+		}
+	}
+	if len(h.binds[9]) == 0 {
+		t.Error("the late proxy was not bound")
+	}
+}
+
+// A zone without backends gets lines elsewhere: a joined proxy always has one while any is listed ready.
+func TestLostZoneGetsLinesElsewhere(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(3*second, h.steady(20, 0.4, 200_000))
+	h.tell(control.List{How: control.ListFull, Entries: append(ready("b", "b1", "b2"), ready("c", "c1")...)})
+	h.pass(second, nil)
+	if lines := h.tables[h.binds[0][0]]; len(lines) != 3 {
+		t.Errorf("the proxy of the lost zone has lines %v", lines)
+	}
+}
+
+// A backend that has just started gets a small line that grows, and none while all others are overloaded: second
+// tries and what shuns the full ones would push it over whatever its weight.
+func TestColdBackendIsEasedIn(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(6*second, h.steady(20, 0.5, 200_000))
+	full := h.tables[0]["a1"]
+	cold := ready("a", "a1")
+	cold[0].Launched = h.now - second
+	h.tell(control.List{How: control.ListChanges, Entries: cold})
+	h.pass(second, h.steady(20, 0.5, 200_000))
+	young := h.tables[0]["a1"]
+	if young == 0 || young > 0.3*full {
+		t.Errorf("new process has weight %.2f of %.2f", young, full)
+	}
+	h.pass(8*second, h.steady(20, 0.5, 200_000))
+	if w := h.tables[0]["a1"]; w < 1.5*young || w > 0.9*full {
+		t.Errorf("half warm it has weight %.2f, from %.2f to %.2f", w, young, full)
+	}
+	h.errors = 0.7
+	cold[0].Launched = h.now
+	h.tell(control.List{How: control.ListChanges, Entries: cold})
+	h.pass(5*second, h.steady(60, 1, 1_500_000))
+	if w := h.tables[0]["a1"]; w > 0 {
+		t.Errorf("in the strain the cold backend has weight %.2f", w)
+	}
+}
+
+// A coordinator that starts over binds nobody by its saved list, which may name the dead as well, until a newer one
+// comes; if none does it goes by the saved one before long.
+func TestRestartWaitsForANewerList(t *testing.T) {
+	h := start(t, nil)
+	h.tell(control.List{How: control.ListSaved, Entries: ready("a", "a1", "a2")})
+	h.tell(control.Joined{Proxy: 0, Zone: "a", Weight: 20})
+	if len(h.binds) > 0 {
+		t.Error("bound by the saved list")
+	}
+	h.tell(control.List{How: control.ListFull, Entries: ready("a", "a2")})
+	if lines := h.tables[h.binds[0][0]]; len(lines) != 1 || lines["a2"] == 0 {
+		t.Errorf("lines by the new list: %v", lines)
+	}
+	g := start(t, nil)
+	g.tell(control.List{How: control.ListSaved, Entries: ready("a", "a1")})
+	g.tell(control.Joined{Proxy: 0, Zone: "a", Weight: 20})
+	g.pass(3*second, nil)
+	if len(g.binds) == 0 {
+		t.Error("without a newer list nobody was ever bound")
+	}
+}
+
+// The levels that proxies still hold stand until a coordinator that starts over knows how full the fleet is.
+func TestRestartLeavesLevelsAlone(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(2*second, h.steady(60, 1, 1_500_000))
+	if len(h.admits) > 0 {
+		t.Errorf("levels %v after two rounds", h.admits)
+	}
+}
+
+// A list that must be asked for is asked for again when the call fails, later each time.
+func TestFailedListIsAskedAgain(t *testing.T) {
+	h := start(t, func(up *control.Up) { up.MustAsk = true })
+	h.fleet()
+	for range 5 {
+		h.tell(control.List{How: control.ListFailed})
+		h.pass(4*second, nil)
+	}
+	if h.count["watch"] != 6 {
+		t.Errorf("asked %d times, want once at the start and once after each failure", h.count["watch"])
+	}
+	if len(h.tables[0]) == 0 {
+		t.Error("a failed call emptied the tables")
+	}
+}
+
+// Overload turns the least payoff away first; when it has passed, everything is let in again before long, and at no
+// time may a kind be tried twice on less than proof.
+func TestOverloadShedsAndForgets(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(12*second, h.steady(40, 0.3, 200_000))
+	h.errors = 0.3
+	h.pass(8*second, h.steady(120, 0.3, 1_500_000))
+	if view, save := h.admits[0], h.admits[1]; view.Level >= everything || view.Level >= save.Level {
+		t.Errorf("in overload the levels are %v for payoff 1 and %v for payoff 4", view.Level, save.Level)
+	}
+	h.errors = 0
+	h.pass(12*second, h.steady(40, 0.3, 200_000))
+	if a := h.admits[0]; a.Level < everything {
+		t.Errorf("long after the overload the level is %v", a.Level)
+	}
+	h.pass(8*second, h.steady(45, 0.3, 300_000))
+	if a := h.admits[0]; a.Level < everything {
+		t.Errorf("what fitted before the overload is now held to %v", a.Level)
+	}
+	if h.most["second try"] > 1 {
+		t.Errorf("second try %d was ordered", h.most["second try"])
+	}
+}
+
+// A backend that says it is full while it answers as fast as ever must not bring levels down.
+func TestFalseFullReport(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(8*second, h.steady(20, 0.5, 200_000))
+	h.liar = "a1"
+	h.pass(8*second, h.steady(20, 0.5, 200_000))
+	if a := h.admits[0]; a.Level < everything {
+		t.Errorf("one false report brought the level to %v", a.Level)
+	}
+	h.liar = ""
+	h.pass(8*second, h.steady(20, 0.5, 700_000))
+	if a := h.admits[0]; a.Level < everything {
+		t.Errorf("dear reqs on idle backends brought the level to %v", a.Level)
+	}
+}
+
+// What slows all backends alike is not one sick backend: weights and lines stay, none is taken out.
+func TestSharedSlownessTakesNobodyOut(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(8*second, h.steady(20, 0.5, 200_000))
+	h.pass(8*second, h.steady(20, 0.8, 500_000))
+	for p, home := range map[control.Proxy]control.Backend{0: "a", 1: "b", 2: "c"} {
+		if lines := h.tables[h.binds[p][0]]; lines[home+"1"] < 0.8 || lines[home+"2"] < 0.8 {
+			t.Errorf("proxy %d has lines %v", p, lines)
+		}
+	}
+}
+
+// A few proxies that suddenly carry much of the traffic open their zone: its home lines would not hold them.
+func TestBusyZoneOpens(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(8*second, h.steady(20, 0.7, 200_000))
+	h.extra = 60
+	h.pass(8*second, h.steady(20, 0.9, 400_000))
+	if lines := h.tables[h.binds[0][0]]; len(lines) < 4 {
+		t.Errorf("the busy zone has lines %v", lines)
+	}
+}
+
+// A kind that only some zones may serve has tables of its own with no line outside of them.
+func TestKindKeepsToItsZones(t *testing.T) {
+	h := start(t, func(up *control.Up) { up.Kinds[1].OnlyZones = []control.Zone{"a", "b"} })
+	h.fleet()
+	h.pass(8*second, h.steady(60, 0.9, 400_000))
+	for p := range control.Proxy(3) {
+		lines := h.tables[h.binds[p][1]]
+		if len(lines) == 0 || lines["c1"] > 0 || lines["c2"] > 0 {
+			t.Errorf("proxy %d has lines %v for the kind", p, lines)
+		}
+	}
+}
+
+// However the fleet flaps, no proxy is written more messages than the limit in its span, and with no word of any
+// message applied the queue stays under its limit.
+func TestMessagesAndLinesStayUnderTheLimits(t *testing.T) {
+	h := start(t, func(up *control.Up) { up.Rules.QueueCap = 400 })
+	h.deaf = true
+	h.fleet()
+	for i := range 300 {
+		e := ready("b", "b1")
+		e[0].Status = control.Status(i % 2)
+		h.tell(control.List{How: control.ListChanges, Entries: e})
+		h.pass(second/10, h.steady(10+i%50, 0.9, micros(200_000+i*3000)))
+	}
+	if h.most["messages"] > 20 {
+		t.Errorf("%d messages to one proxy in a span", h.most["messages"])
+	}
+	if h.queued > 400 {
+		t.Errorf("%.0f lines written that nobody acknowledged, the limit is 400", h.queued)
+	}
+}
+
+// Late, doubled, contradictory and unknown events do no harm.
+func TestOddEventsAreHarmless(t *testing.T) {
+	h := start(t, nil)
+	h.tell(control.Heard{Zone: "z", Backend: "x", Tries: -3, Errored: 9}, control.Applied{Proxy: 7, Mark: 3})
+	h.fleet()
+	odd := []control.Event{
+		control.Heard{Zone: "a", Backend: "gone", Tries: 5}, control.Heard{Zone: "z", Backend: "a1", Tries: 5},
+		control.Usage{Proxy: 77, Kind: 1, Reqs: 9}, control.Usage{Proxy: 0, Kind: -1, Reqs: 9},
+		control.Probed{Backend: "x", OK: true}, control.Left{Proxy: 77}, control.Left{Proxy: 2},
+		control.Left{Proxy: 2}, control.Ring{Token: 99}, control.Memo{From: 3, Body: []byte("?")},
+		control.Applied{Proxy: 0, Mark: 9999}, control.Given{On: true, Table: 3}, control.Heat{Table: 3},
+		control.Heard{Zone: "a", Backend: "a1", Tries: 0, Errored: 4, Loads: control.Loads{"busy": -1, "odd": 3}},
+		control.List{How: control.ListChanges, Entries: []control.Entry{{Backend: "new", Zone: "z"},
+			{Backend: "a9", Status: control.Gone}}},
+		control.Joined{Proxy: 1, Zone: "z"}, control.Joined{Proxy: 1, Zone: "b", Weight: 5},
+	}
+	for range 20 {
+		h.tell(odd...)
+		h.pass(second, h.steady(20, 0.5, 200_000))
+	}
+	if lines := h.tables[h.binds[0][0]]; lines["a1"] == 0 || lines["a2"] == 0 {
+		t.Errorf("the home lines are %v", lines)
+	}
 }
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -20,6 +20,14 @@
 	admits map[control.ReqKind]control.Admit
 	orders []control.Order // of the last step
 	count  map[string]int
+	most   map[string]int
+
+	errors float64         // part of all tries that err
+	liar   control.Backend // says that it is full
+	extra  int             // reqs a second on top at proxy 0
+	deaf   bool            // nobody acknowledges
+	queued float64         // lines written and not acknowledged
+	sent   map[control.Proxy][]micros
 }
 
 type ring struct {
@@ -45,12 +53,14 @@
 		change(&up)
 	}
 	return &host{t: t, in: New(up), now: 100 * second, tables: map[control.Table]map[control.Backend]float64{},
-		binds: map[control.Proxy][]control.Table{}, admits: map[control.ReqKind]control.Admit{}, count: map[string]int{}}
+		binds: map[control.Proxy][]control.Table{}, admits: map[control.ReqKind]control.Admit{}, count: map[string]int{},
+		most: map[string]int{}, sent: map[control.Proxy][]micros{}}
 }
 
 // tell gives events at the present time and carries out the orders.
 func (h *host) tell(events ...control.Event) {
 	h.orders = h.in.Take(h.now, events)
+	reached := map[control.Proxy]float64{}
 	for _, o := range h.orders {
 		switch o := o.(type) {
 		case control.Sleep:
@@ -62,8 +72,13 @@
 			if h.tables[o.Table][o.Backend] = o.Weight; o.Weight == 0 {
 				delete(h.tables[o.Table], o.Backend)
 			}
-			h.count["lines"]++
+			for p, tables := range h.binds {
+				if slices.Contains(tables, o.Table) {
+					reached[p]++
+				}
+			}
 		case control.Bind:
+			reached[o.Proxy] += float64(len(h.tables[o.Table])) + 1
 			if h.binds[o.Proxy] == nil {
 				h.binds[o.Proxy] = make([]control.Table, 2)
 			}
@@ -73,6 +88,10 @@
 				}
 			}
 		case control.Admit:
+			h.most["second try"] = max(h.most["second try"], o.SecondTry)
+			for p := range h.binds {
+				reached[p]++
+			}
 			for k := range control.ReqKind(2) {
 				if o.Kinds == 0 || o.Kinds&(1<<k) != 0 {
 					h.admits[k] = o
@@ -82,10 +101,23 @@
 			h.count["watch"]++
 		case control.Probe:
 			h.count["probe"]++
-		case control.Marked:
-			h.count["marks"]++
 		}
 	}
+	var applied []control.Event
+	for _, p := range slices.Sorted(maps.Keys(reached)) {
+		h.queued += reached[p] + 7
+		h.sent[p] = append(slices.DeleteFunc(h.sent[p], func(at micros) bool { return h.now-at > 10*second }), h.now)
+		h.most["messages"] = max(h.most["messages"], len(h.sent[p]))
+		for _, o := range h.orders {
+			if m, is := o.(control.Marked); is {
+				applied = append(applied, control.Applied{Proxy: p, Mark: m.Mark, Took: second / 5})
+			}
+		}
+	}
+	if len(applied) > 0 && !h.deaf {
+		h.queued = 0
+		h.in.Take(h.now, applied)
+	}
 }
 
 // pass lets time go by in steps of a tenth of a second; each full second the reports of say are given first.
@@ -128,27 +160,43 @@
 	}
 }
 
-// steady reports rate reqs a second at each proxy, dealt to the backends by the table of the first kind; silent
-// ones answer nothing.
+// steady reports rate reqs a second at each proxy, dealt to the backends by the table of the first kind. A backend
+// with ten tries a second is busy by the share given; silent ones answer nothing.
 func (h *host) steady(rate int, busy float64, answer micros, silent ...control.Backend) func() []control.Event {
 	return func() []control.Event {
 		var events []control.Event
+		var heard []control.Heard
+		tries := map[control.Backend]float64{}
 		for p, z := range []control.Zone{"a", "b", "c"} {
-			id := control.Proxy(p)
+			id, rate := control.Proxy(p), rate
+			if p == 0 {
+				rate += h.extra
+			}
 			for k := range control.ReqKind(2) {
 				events = append(events, control.Usage{Proxy: id, Kind: k, Reqs: rate / 2, Period: second})
 			}
+			if len(h.binds[id]) == 0 {
+				continue
+			}
 			lines, all := h.tables[h.binds[id][0]], 0.0
 			for _, w := range lines {
 				all += w
 			}
 			for _, b := range slices.Sorted(maps.Keys(lines)) {
-				if !slices.Contains(silent, b) {
-					events = append(events, control.Heard{Zone: z, Backend: b, Period: second, Answer: answer,
-						Tries: int(float64(rate)*lines[b]/all + 0.5), Loads: control.Loads{"busy": busy}})
+				if n := float64(rate) * lines[b] / all; !slices.Contains(silent, b) {
+					tries[b] += n
+					heard = append(heard, control.Heard{Zone: z, Backend: b, Period: second, Answer: answer,
+						Tries: int(n + 0.5), Errored: int(h.errors*n + 0.5)})
 				}
 			}
 		}
+		for _, e := range heard {
+			e.Loads = control.Loads{"busy": min(1, busy*tries[e.Backend]/10)}
+			if e.Backend == h.liar {
+				e.Loads["busy"] = 1
+			}
+			events = append(events, e)
+		}
 		return events
 	}
 }
