--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,7 +274,7 @@
 	}
 	p.erring += 0.5 * (errored - p.erring)
 	clear(p.tries)
-	p.errored, p.fresh, p.rounds = 0, true, p.rounds+1
+	p.errored, p.fresh = 0, true
 }
 
 // fleet lists the backends with what they are worth: what they did in a busy second and, while little is known,
@@ -282,7 +282,8 @@
 // pace within a round, long before each has learned it, and is gone as fast.
 func (p *planner) fleet() []view {
 	var fleet []view
-	worked, served, asked, did, meant := 1e-9, 0.0, 0.0, 0.0, 0.0
+	const prior = 2 // busy seconds that the listed weight counts for
+	worked, served, asked, learned, did, meant := 1e-9, 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, f := range p.flows {
 		asked += f.total
 	}
@@ -291,6 +292,7 @@
 		v.entry.Weight = max(v.entry.Weight, 1e-3)
 		fleet = append(fleet, v)
 		n, s := v.speed.total()
+		learned += n
 		// a fleet of which nothing is known is taken to be used by two thirds
 		worked += (n + 0.3) * v.entry.Weight
 		served += s + 0.3*1.5*max(asked, 1)/float64(len(p.views))
@@ -298,10 +300,11 @@
 	for i := range fleet {
 		v := &fleet[i]
 		n, s := v.speed.total()
-		const prior = 2 // busy seconds that the listed weight counts for
+
 		v.worth = (s + prior*v.entry.Weight*served/worked) / (n + prior)
 		did, meant = did+v.did, meant+v.worth*v.busy
 	}
+	p.known = p.known || learned > float64(len(fleet))
 	if p.fresh && meant > 0 {
 		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
 	}
@@ -313,7 +316,7 @@
 		if v.room = v.worth * v.share; v.share < 1 {
 			// All proxies together must not push a cold one over. Where the others are full, second tries and
 			// what shuns them all come on top of its weight; just after a crash nothing is known of that.
-			if v.room *= 0.7 / strain; strain > 1.5 || p.rounds < 4 {
+			if v.room *= 0.7 / strain; strain > 1.5 || !p.known {
 				v.room = 0
 			}
 		}
@@ -384,7 +387,7 @@
 	}
 	p.admission(fleet, asked)
 	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known again.
-	if p.rounds >= 4 {
+	if p.known || p.letIn > 0 {
 		w.admits = p.deal()
 	}
 	p.channel.put(w)
@@ -450,7 +453,7 @@
 // admission runs the design's price step and F-NORM on each zone's group and publishes the traffic-weighted mean of
 // the groups' levels, only while load is above 90% of the summed capacity and only on moves past the threshold.
 func (p *planner) admission(fleet []view, asked []float64) {
-	capacity, limited, known := make([]float64, len(p.zones)), false, true
+	capacity, limited := make([]float64, len(p.zones)), false
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
@@ -459,8 +462,7 @@
 		}
 		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports' time.
 		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(4*v.period))
-		worked, _ := v.speed.total()
-		known = known && worked > 2
+
 		load := v.foreign
 		for z, part := range p.parts[v.id] {
 			load += part * asked[z]
@@ -474,7 +476,7 @@
 		letIn += asked[z] * p.group(z, asked[z], capacity[z])
 	}
 	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
-	if limited = limited || known && total > can; !limited || p.levels == control.LevelOff || total <= 0.9*can {
+	if limited = limited || p.known && total > can; !limited || p.levels == control.LevelOff || total <= 0.9*can {
 		letIn = 0
 	}
 	if (letIn > 0) != (p.letIn > 0) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -161,13 +161,15 @@
 	}
 }
 
-// The levels that proxies still hold stand until a coordinator that starts over knows how full the fleet is.
+// The levels that proxies still hold stand until a coordinator that starts over knows how full the fleet is: in the
+// midst of an overload it never opens them.
 func TestRestartLeavesLevelsAlone(t *testing.T) {
 	h := start(t, nil)
 	h.fleet()
-	h.pass(2*second, h.steady(60, 1, 1_500_000))
-	if len(h.admits) > 0 {
-		t.Errorf("levels %v after two rounds", h.admits)
+	h.errors = 0.3
+	h.pass(8*second, h.steady(60, 1, 1_500_000))
+	if a, has := h.admits[0]; !has || h.most["level"] >= everything {
+		t.Errorf("level %+v, the highest so far %d", a, h.most["level"])
 	}
 }
 
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -88,6 +88,9 @@
 				}
 			}
 		case control.Admit:
+			if o.Kinds&1 != 0 {
+				h.most["level"] = max(h.most["level"], int(o.Level))
+			}
 			h.most["second try"] = max(h.most["second try"], o.SecondTry)
 			for p := range h.binds {
 				reached[p]++
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -291,10 +291,10 @@
 	pace        float64                       // what the fleet does now against the speeds learned one by one
 	use, erring float64                       // the fleet's load over its room, the part of its tries that err
 	letIn       float64                       // published: reqs a second in all; 0: open
-	rounds      int                           // with reports so far
 	waits       int                           // beats to wait for a list newer than the saved one
 	all         bool                          // every known proxy is joined
 	due, urgent bool
+	known       bool // a speed has been learned since the start
 	fresh       bool // a round has ended since the last plan
 }
 
