--- a/choice/choice.go
+++ b/choice/choice.go
@@ -366,10 +366,12 @@
 		p.parts[v.id] = make([]float64, len(p.zones))
 	}
 	openness := p.openness(fleet, asked)
-	for z := range p.zones {
-		for _, set := range p.sets {
-			lines, weight, usage := p.table(fleet, set, z, openness[z]), 0.0, 0.0
-			w.lines = append(w.lines, lines)
+	w.lines = make([][]line, len(p.zones)*len(p.sets))
+	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
+	for s, set := range p.sets {
+		for z := range p.zones {
+			lines, weight, usage := p.table(fleet, set, z, openness[z], taken), 0.0, 0.0
+			w.lines[z*len(p.sets)+s] = lines
 			for _, l := range lines {
 				weight += l.weight
 			}
@@ -382,6 +384,9 @@
 			}
 			for _, l := range lines {
 				p.parts[l.backend][z] += usage * l.weight / weight
+				if set.bound() {
+					taken[l.backend] += usage * asked[z] * l.weight / weight
+				}
 			}
 		}
 	}
@@ -421,7 +426,8 @@
 
 // table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the fleet's
 // mean, so that a line changes only when its backend, or the openness, does.
-func (p *planner) table(fleet []view, set kindSet, z int, openness float64) []line {
+func (p *planner) table(fleet []view, set kindSet, z int, openness float64,
+	taken map[control.Backend]float64) []line {
 	mean, home := 0.0, false
 	for _, v := range fleet {
 		mean += v.worth / float64(len(fleet))
@@ -432,6 +438,9 @@
 		if p.allowed(v, set, z) {
 			l := line{v.id, max(0.01, v.room/mean)}
 			last = append(last, l)
+			if !set.bound() { // what serves bound kinds as well gets the less of the others
+				l.weight *= max(0.2, 1-taken[v.id]/max(v.room*p.use, 1e-9))
+			}
 			if v.zone != z && home {
 				l.weight *= openness
 			}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -305,6 +305,9 @@
 	own  bool
 }
 
+// bound tells whether the kinds may not go everywhere.
+func (s kindSet) bound() bool { return s.own || len(s.only) > 0 }
+
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
 	levels control.LevelKind) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, waits: 2, pace: 1,
@@ -320,6 +323,14 @@
 		}
 		p.sets[s].mask |= 1 << k
 	}
+	slices.SortStableFunc(p.sets, func(a, b kindSet) int {
+		if a.bound() == b.bound() {
+			return 0
+		} else if a.bound() {
+			return -1
+		}
+		return 1
+	})
 	for _, set := range p.sets {
 		ch.masks = append(ch.masks, set.mask)
 	}
