--- a/choice/choice.go
+++ b/choice/choice.go
@@ -287,10 +287,14 @@
 	for _, f := range p.flows {
 		asked += f.total
 	}
+	kinds := map[control.Machine][]float64{} // mean answer times by machine kind
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		v := p.views[id]
 		v.entry.Weight = max(v.entry.Weight, 1e-3)
 		fleet = append(fleet, v)
+		if v.answer > 0 {
+			kinds[v.entry.Machine] = append(kinds[v.entry.Machine], v.answer)
+		}
 		n, s := v.speed.total()
 		learned += n
 		// a fleet of which nothing is known is taken to be used by two thirds
@@ -313,7 +317,13 @@
 	for i := range fleet {
 		v := &fleet[i]
 		v.worth *= p.pace
-		if v.room = v.worth * v.share; v.share < 1 {
+		v.room = v.worth * v.share
+		if answers := kinds[v.entry.Machine]; v.answer > 0 {
+			// Judged by its answer times against its kind's: one that stalls, or has got more than it can do, gets
+			// less long before its speed shows it.
+			v.room *= min(1, max(0.5, 1.5*sum(answers)/float64(len(answers))/v.answer))
+		}
+		if v.share < 1 {
 			// All proxies together must not push a cold one over. Where the others are full, second tries and
 			// what shuns them all come on top of its weight; just after a crash nothing is known of that.
 			if v.room *= 0.7 / strain; strain > 1.5 || !p.known {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -313,3 +313,21 @@
 		t.Errorf("the home lines are %v", lines)
 	}
 }
+
+// One backend that answers far later than its kind, but still answers, is no sick one: it gets less, not nothing.
+func TestSlowerThanItsKindGetsLess(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(8*second, h.steady(20, 0.5, 200_000))
+	full := h.tables[0]["a1"]
+	h.snail = "a1"
+	h.pass(6*second, h.steady(20, 0.5, 200_000))
+	if w := h.tables[0]["a1"]; w == 0 || w > 0.7*full {
+		t.Errorf("the slow one has weight %.2f of %.2f", w, full)
+	}
+	h.snail = ""
+	h.pass(10*second, h.steady(20, 0.5, 200_000))
+	if w := h.tables[0]["a1"]; w < 0.8*full {
+		t.Errorf("recovered it has weight %.2f of %.2f", w, full)
+	}
+}
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -24,6 +24,7 @@
 
 	errors float64         // part of all tries that err
 	liar   control.Backend // says that it is full
+	snail  control.Backend // answers in four times the time
 	extra  int             // reqs a second on top at proxy 0
 	deaf   bool            // nobody acknowledges
 	queued float64         // lines written and not acknowledged
@@ -198,6 +199,9 @@
 			if e.Backend == h.liar {
 				e.Loads["busy"] = 1
 			}
+			if e.Backend == h.snail {
+				e.Answer *= 4
+			}
 			events = append(events, e)
 		}
 		return events
