--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,9 @@
 // Package choice holds every decision of porthub, all of them in this file. Its interface is package control
 // (control/control.go). A host calls New with the start settings, then Take with each batch of events at the
-// batch's time, and carries out the orders that Take returns. An Instance shares nothing and reads no clock but
-// that argument. Its parts talk only by notes in inboxes (parts.go has their state and the loop): roll follows the
-// list, a backend actor stands for each backend, book keeps the proxies, planner decides tables, prices and levels,
-// channel sends what has changed.
+// batch's time, and carries out the orders that Take returns. An Instance shares nothing and reads no clock
+// but that argument. Its parts talk only by notes in inboxes (parts.go has their state and the loop): roll
+// follows the list, a backend actor stands for each backend, book keeps the proxies, planner decides tables,
+// prices and levels, channel sends what has changed.
 package choice
 
 import (
@@ -115,9 +115,10 @@
 }
 
 // capacity keeps the design's rule: no limit until slow for three reports, then what it served, raised as it
-// serves more. Ours: it is slow only if its answers and its own word agree, so that neither a few dear reqs nor a
-// false report of being full drag the levels down; and the limit grows with each report that is not slow and ends
-// above its speed, so that neither a passing slowness nor a cold start leaves a lasting low capacity.
+// serves more. Ours: it is slow only if its answers and its own word agree, so that neither a few dear reqs
+// nor a false report of being full drag the levels down; and the limit grows with each report that is not
+// slow and ends above its speed, so that neither a passing slowness nor a cold start leaves a lasting low
+// capacity.
 func (b *backend) capacity(all seat, done float64, busy bool) {
 	if all.tries >= 3 && busy && (all.errored > 0.3*all.tries || all.answer > 0.6*done*float64(b.target)) {
 		if b.slow++; b.slow >= 3 && b.limit == 0 {
@@ -134,9 +135,10 @@
 	}
 }
 
-// judgeSeat finds a backend that answers a zone's proxies nothing at all, be it by errors or by silence where its
-// lines should have brought tries. One that is merely full still answers some and stays: taking full backends out
-// pushes the others over. It is tried again later and later; where probes are allowed, once one went well.
+// judgeSeat finds a backend that answers a zone's proxies nothing at all, be it by errors or by silence where
+// its lines should have brought tries. One that is merely full still answers some and stays: taking full
+// backends out pushes the others over. It is tried again later and later; where probes are allowed, once one
+// went well.
 func (b *backend) judgeSeat(now micros, z int, s *seat, expect, fleet float64) bool {
 	switch {
 	case b.entry.Status != control.Ready || s.sick && now < s.retryAt:
@@ -168,8 +170,8 @@
 	return b.coldFrom + (1-b.coldFrom)*max(0, float64(now-b.entry.Launched)/float64(b.cold))
 }
 
-// share is the part of its usual work that it may get now. One that is back from trouble may be a new process of
-// which the list has not told yet: it is eased in like a cold one for as long as the list may take.
+// share is the part of its usual work that it may get now. One that is back from trouble may be a new process
+// of which the list has not told yet: it is eased in like a cold one for as long as the list may take.
 func (b *backend) share(now micros) float64 {
 	if b.backAt == 0 {
 		return b.warmth(now)
@@ -253,8 +255,8 @@
 			p.endRound(n.span)
 		}
 	case heed:
-		// A list saved before a crash may name the dead and the newly started as well: until a newer one comes,
-		// for two beats at most, the proxies keep what they hold.
+		// A list saved before a crash may name the dead and the newly started as well: until a newer one
+		// comes, for two beats at most, the proxies keep what they hold.
 		if p.due && p.waits <= 0 && len(p.views) > 0 {
 			p.plan()
 			p.due, p.urgent = false, false
@@ -277,9 +279,9 @@
 	p.errored, p.fresh = 0, true
 }
 
-// fleet lists the backends with what they are worth: what they did in a busy second and, while little is known,
-// what their listed weight says. What slows all backends at once, or makes all reqs dearer, shows in the fleet's
-// pace within a round, long before each has learned it, and is gone as fast.
+// fleet lists the backends with what they are worth: what they did in a busy second and, while little is
+// known, what their listed weight says. What slows all backends at once, or makes all reqs dearer, shows in
+// the fleet's pace within a round, long before each has learned it, and is gone as fast.
 func (p *planner) fleet() []view {
 	var fleet []view
 	const prior = 2 // busy seconds that the listed weight counts for
@@ -319,8 +321,8 @@
 		v.worth *= p.pace
 		v.room = v.worth * v.share
 		if answers := kinds[v.entry.Machine]; v.answer > 0 {
-			// Judged by its answer times against its kind's: one that stalls, or has got more than it can do, gets
-			// less long before its speed shows it.
+			// Judged by its answer times against its kind's: one that stalls, or has got more than it can do,
+			// gets less long before its speed shows it.
 			v.room *= min(1, max(0.5, 1.5*sum(answers)/float64(len(answers))/v.answer))
 		}
 		if v.share < 1 {
@@ -334,8 +336,8 @@
 	return fleet
 }
 
-// look sees to it that sick marks never empty a zone's tables: when under a fifth of the listed speed looks well
-// from a zone, the fault is likelier on the way or in the reports, and all lines stay.
+// look sees to it that sick marks never empty a zone's tables: when under a fifth of the listed speed looks
+// well from a zone, the fault is likelier on the way or in the reports, and all lines stay.
 func (p *planner) look(fleet []view) {
 	for z, name := range p.zones {
 		well, ready := 0.0, 0.0
@@ -401,16 +403,18 @@
 		}
 	}
 	p.admission(fleet, asked)
-	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known again.
+	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known
+	// again.
 	if p.known || p.letIn > 0 {
 		w.admits = p.deal()
 	}
 	p.channel.put(w)
 }
 
-// openness is, by zone, how much weight a backend elsewhere gets beside one at home: 0 keeps all tries at home, 1
-// treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the fleet, it
-// opens: proxies are unequal and change faster than orders travel, and what one zone has too much another can take.
+// openness is, by zone, how much weight a backend elsewhere gets beside one at home: 0 keeps all tries at
+// home, 1 treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the
+// fleet, it opens: proxies are unequal and change faster than orders travel, and what one zone has too much
+// another can take.
 func (p *planner) openness(fleet []view, asked []float64) []float64 {
 	const quiet, full = 0.6, 0.9 // use of the fleet at which zones begin to open and are one
 	room, load, open := make([]float64, len(p.zones)), slices.Clone(asked), make([]float64, len(p.zones))
@@ -434,8 +438,8 @@
 	return open
 }
 
-// table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the fleet's
-// mean, so that a line changes only when its backend, or the openness, does.
+// table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the
+// fleet's mean, so that a line changes only when its backend, or the openness, does.
 func (p *planner) table(fleet []view, set kindSet, z int, openness float64,
 	taken map[control.Backend]float64) []line {
 	mean, home := 0.0, false
@@ -465,21 +469,24 @@
 	return lines
 }
 
-// step is the change of what is let in that is worth a message; it also trims capacity, so that what stays unsent
-// is safe. everything is a level that turns nothing away.
+// step is the change of what is let in that is worth a message; it also trims capacity, so that what stays
+// unsent is safe. everything is a level that turns nothing away.
 const step, everything = 0.05, 1e6
 
-// admission runs the design's price step and F-NORM on each zone's group and publishes the traffic-weighted mean of
-// the groups' levels, only while load is above 90% of the summed capacity and only on moves past the threshold.
+// admission runs the design's price step and F-NORM on each zone's group and publishes the traffic-weighted
+// mean of the groups' levels, only while load is above 90% of the summed capacity and only on moves past the
+// threshold.
 func (p *planner) admission(fleet []view, asked []float64) {
 	capacity, limited := make([]float64, len(p.zones)), false
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
-			// One that says it is full, falsely or alone, must not drag all levels down: it counts at least half.
+			// One that says it is full, falsely or alone, must not drag all levels down: it counts at least
+			// half.
 			c, limited = max(min(v.limit, c), c/2), true
 		}
-		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports' time.
+		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports'
+		// time.
 		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(4*v.period))
 
 		load := v.foreign
@@ -506,15 +513,15 @@
 	}
 }
 
-// group takes price steps of a zone's group (paper, algorithm 1), then F-NORM, and returns the group's level: the
-// part of its usage that its capacity lets in.
+// group takes price steps of a zone's group (paper, algorithm 1), then F-NORM, and returns the group's level:
+// the part of its usage that its capacity lets in.
 func (p *planner) group(z int, asked, capacity float64) float64 {
 	const gamma = 0.4 // the paper's
 	floor, rates := 1.0, 0.0
 	for _, f := range p.flows {
 		if f.zone == z {
-			// At the floor the largest proxy is let have twice its usage. A lower price says no more, and with all
-			// rates capped the slope would be 0 and the price stuck.
+			// At the floor the largest proxy is let have twice its usage. A lower price says no more, and
+			// with all rates capped the slope would be 0 and the price stuck.
 			floor = min(floor, 0.5/max(f.total, 0.5))
 		}
 	}
@@ -567,8 +574,8 @@
 	return admits
 }
 
-// level turns the part of a kind to be turned away into a level. One rate holds at all proxies, however unequal: it
-// is set so that, by their usage, what it lets in at all of them together is right.
+// level turns the part of a kind to be turned away into a level. One rate holds at all proxies, however
+// unequal: it is set so that, by their usage, what it lets in at all of them together is right.
 func (p *planner) level(k int, away, usage float64) float64 {
 	if away <= 0 {
 		return everything
@@ -607,9 +614,9 @@
 	}
 }
 
-// free tells whether changes may go out to all. Lines count as queued until a proxy acknowledges them, whatever the
-// stated pace, so that a channel that runs slow holds back by itself; routine leaves half of each limit to what is
-// urgent, and the last messages are left to proxies that join.
+// free tells whether changes may go out to all. Lines count as queued until a proxy acknowledges them,
+// whatever the stated pace, so that a channel that runs slow holds back by itself; routine leaves half of
+// each limit to what is urgent, and the last messages are left to proxies that join.
 func (c *channel) free(now micros, urgent bool) bool {
 	waiting, messages := 0.0, 0
 	for _, s := range c.streams {
