--- a/choice/choice.go
+++ b/choice/choice.go
@@ -104,6 +104,9 @@
 	} else if end.all {
 		rate = done / end.span
 	}
+	if q, told := b.loads["q"]; told {
+		b.queue = q
+	}
 	b.did, b.busy, b.loads = 0, 0, nil
 	if busy > 0.05 && b.warmth(now) == 1 && (told || end.all) {
 		// Learned only warm and while all its load is known: else it would pass for slow for long.
@@ -488,6 +491,7 @@
 		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports'
 		// time.
 		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(4*v.period))
+		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
 
 		load := v.foreign
 		for z, part := range p.parts[v.id] {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -231,6 +231,7 @@
 	speed                hist          // by busy share: busy seconds and done reqs
 	did, busy            float64       // the last round's reqs a second and busy share, if both are known
 	served, foreign      float64       // reqs a second: done for own proxies, load of other controllers'
+	queue                float64       // reqs waiting, by its own word
 	answer               float64       // mean answer time
 	limit                float64       // reqs a second; 0: no capacity limit
 	slow                 int           // slow reports in a row
