--- a/choice/choice.go
+++ b/choice/choice.go
@@ -174,12 +174,13 @@
 }
 
 // share is the part of its usual work that it may get now. One that is back from trouble may be a new process
-// of which the list has not told yet: it is eased in like a cold one for as long as the list may take.
+// of which the list has not told yet: it is eased in from twice a cold one's part, within the seconds that
+// the list may take.
 func (b *backend) share(now micros) float64 {
 	if b.backAt == 0 {
 		return b.warmth(now)
 	}
-	return min(b.warmth(now), b.coldFrom+(1-b.coldFrom)*float64(now-b.backAt)/float64(6*second))
+	return min(b.warmth(now), 2*b.coldFrom+float64(now-b.backAt)/float64(5*second))
 }
 
 func (b *backend) tell(now micros, urgent bool) {
