--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// A drain that comes too soon after other changes goes out with the next beat, not when the routine may.
+func TestDrainDoesNotWaitForRoutine(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(5*second, h.steady(20, 0.5, 200_000))
+	h.pass(second/2, nil)
+	other := ready("b", "b2")
+	other[0].Status = control.Draining
+	h.tell(control.List{How: control.ListChanges, Entries: other})
+	h.now += second / 10
+	drain := ready("a", "a1")
+	drain[0].Status = control.Draining
+	h.tell(control.List{How: control.ListChanges, Entries: drain})
+	h.pass(second/2, h.steady(20, 0.5, 200_000)) // the next beat falls in it
+	for table, lines := range h.tables {
+		if w, has := lines["a1"]; has {
+			t.Errorf("table %d still has the draining backend at %.2f", table, w)
+		}
+	}
+}
+
 // A zone without backends gets lines elsewhere: a joined proxy always has one while any is listed ready.
 func TestLostZoneGetsLinesElsewhere(t *testing.T) {
 	h := start(t, nil)
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -351,6 +351,7 @@
 	streams            map[control.Proxy]*stream
 	mark               control.Mark
 	lastSent           micros
+	urgent             bool // something urgent has not gone out yet
 }
 
 // stream is what the channel knows of one proxy.
