--- a/choice/choice.go
+++ b/choice/choice.go
@@ -491,7 +491,7 @@
 		}
 		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports'
 		// time.
-		c *= 1 - min(0.5, max(0, v.answer-0.6*float64(v.target))/float64(4*v.period))
+		c *= 1 - min(0.5, max(0, v.answer-0.45*float64(v.target))/float64(4*v.period))
 		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
 
 		load := v.foreign
