--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"slices"
 	"testing"
 
 	"porthub/control"
@@ -352,3 +353,32 @@
 		t.Errorf("recovered it has weight %.2f of %.2f", w, full)
 	}
 }
+
+// When reports dry up, nothing is concluded from that: lines and levels stay.
+func TestNoReportsChangeNothing(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(10*second, h.steady(20, 0.4, 200_000))
+	before := len(h.tables[0])
+	h.pass(30*second, nil)
+	if len(h.tables[0]) != before || h.admits[0].Level < everything {
+		t.Errorf("after 30 s without reports: lines %v, level %v", h.tables[0], h.admits[0].Level)
+	}
+}
+
+// A backend that only one zone's proxies can't reach leaves that zone's tables alone.
+func TestSickFromOneZoneOnly(t *testing.T) {
+	h := start(t, nil)
+	h.fleet()
+	h.pass(12*second, h.steady(60, 0.3, 400_000))
+	say := h.steady(60, 0.3, 400_000)
+	h.pass(4*second, func() []control.Event {
+		return slices.DeleteFunc(say(), func(ev control.Event) bool {
+			heard, is := ev.(control.Heard)
+			return is && heard.Zone == "a" && heard.Backend == "b1"
+		})
+	})
+	if h.tables[h.binds[0][0]]["b1"] > 0 || h.tables[h.binds[1][0]]["b1"] == 0 {
+		t.Errorf("lines of zone a %v, of zone b %v", h.tables[h.binds[0][0]], h.tables[h.binds[1][0]])
+	}
+}
