--- a/choice/choice.go
+++ b/choice/choice.go
@@ -507,7 +507,8 @@
 		letIn += asked[z] * p.group(z, asked[z], capacity[z])
 	}
 	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
-	if limited = limited || p.known && total > can; !limited || p.levels == control.LevelOff || total <= 0.9*can {
+	limited = limited || p.known && total > can
+	if !limited || p.levels == control.LevelOff || total <= 0.9*can {
 		letIn = 0
 	}
 	if (letIn > 0) != (p.letIn > 0) {
@@ -698,7 +699,8 @@
 					delete(held, b)
 				}
 				c.out.add(control.Line{Table: t, Backend: b, Weight: weight})
-				charge(func(s *stream) bool { return s.home >= 0 && t >= s.home && t < s.home+control.Table(len(c.masks)) })
+				n := control.Table(len(c.masks))
+				charge(func(s *stream) bool { return s.home >= 0 && t >= s.home && t < s.home+n })
 			}
 		}
 	}
