--- a/choice/choice.go
+++ b/choice/choice.go
@@ -643,8 +643,8 @@
 }
 
 func (c *channel) send(now micros, w want) {
-	// What is urgent, a drain above all, stays so until it has gone out: one that came too soon after another change
-	// must not wait for the routine's turn.
+	// What is urgent, a drain above all, stays so until it has gone out: one that came too soon after another
+	// change must not wait for the routine's turn.
 	if c.urgent = c.urgent || w.urgent; c.free(now, c.urgent) {
 		c.change(now, w)
 		c.urgent = false
