--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,9 @@
 package choice
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"porthub/control"
@@ -206,11 +208,10 @@
 				f.usage[i] = n.Weight / float64(k.kinds)
 			}
 		}
-		k.tell(true)
+		k.due, k.urgent = true, true
 	case control.Left:
 		if f := k.flows[n.Proxy]; f != nil {
-			f.joined = false
-			k.tell(false)
+			f.joined, k.due = false, true
 		}
 	case control.Usage:
 		if f := k.flows[n.Proxy]; f != nil && f.joined && n.Kind >= 0 && int(n.Kind) < k.kinds {
@@ -225,12 +226,17 @@
 				}
 			}
 		}
-		k.tell(false)
+		k.due = true
+	case heed:
+		if k.due {
+			k.tell()
+		}
 	}
 }
 
-func (k *book) tell(urgent bool) {
-	d := demand{all: true, urgent: urgent}
+func (k *book) tell() {
+	d := demand{all: true, urgent: k.urgent}
+	k.due, k.urgent = false, false
 	for _, id := range slices.Sorted(maps.Keys(k.flows)) {
 		f := *k.flows[id]
 		if d.all = d.all && f.joined; f.joined && f.zone >= 0 {
@@ -256,6 +262,7 @@
 		p.waits = 0
 	case beat:
 		if p.waits--; n.span > 0 {
+			p.round++
 			p.endRound(n.span)
 		}
 	case heed:
@@ -273,8 +280,10 @@
 	errored := p.errored / max(sum(p.tries), 1)
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		end := roundEnd{make([]float64, len(p.zones)), errored, span, p.all}
-		for z, part := range p.parts[id] {
-			end.expect[z] = part * p.tries[z]
+		for c, load := range p.loads[id] {
+			if z := p.zoneOf(c); p.asked[z] > 0 {
+				end.expect[z] += load / p.asked[z] * p.tries[z]
+			}
 		}
 		p.views[id].box.put(end)
 	}
@@ -366,47 +375,194 @@
 		(len(set.only) == 0 || slices.Contains(set.only, p.zones[v.zone]))
 }
 
+// zoneOf is a crew's zone; crews are numbered by zone, then by group.
+func (p *planner) zoneOf(crew int) int { return crew / (p.groups + 1) }
+
+// in tells whether a backend is in a group; the last group has all.
+func (p *planner) in(v view, g int) bool { return g == p.groups || p.member[v.id] == g }
+
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
+// pack packs backends and proxies onto zone-local groups, the design's server groups: one table for all of a
+// large zone costs lines, standstill and connections at each proxy and backend. There are as many groups as
+// keep the connections of a backend, with all zones open, to a third of what the smallest takes, but none
+// starts with under five backends. The last group of a zone stands for the whole zone, for the proxies that
+// are too large for one.
+func (p *planner) pack(fleet []view, round bool) {
+	count := make([]int, len(p.zones))
+	for _, v := range fleet {
+		if v.zone >= 0 {
+			count[v.zone]++
+		}
+	}
+	if p.groups == 0 {
+		p.groups = (3*p.proxies + p.sockets - 1) / p.sockets
+		for _, n := range count {
+			if n > 0 {
+				p.groups = max(1, min(p.groups, n/5))
+			}
+		}
+		p.prices = slices.Repeat([]float64{1}, len(p.zones)*(p.groups+1)) // the paper's start
+	}
+	worth, room := make([]float64, len(p.prices)), make([]float64, len(p.prices))
+	byPod := slices.Clone(fleet) // dealt out by pod: what strikes one pod strikes few of a group
+	slices.SortStableFunc(byPod, func(a, b view) int { return int(a.entry.Pod) - int(b.entry.Pod) })
+	for _, v := range byPod {
+		if v.zone < 0 {
+			continue
+		}
+		first := v.zone * (p.groups + 1)
+		g, has := p.member[v.id]
+		if !has && v.ready {
+			g = slices.Index(worth[first:first+p.groups], slices.Min(worth[first:first+p.groups]))
+			p.member[v.id] = g
+		}
+		if p.usable(v, v.zone) {
+			worth[first+g] += v.worth
+			room[first+g] += v.room
+		}
+	}
+	load := make([]float64, len(p.prices))
+	var unplaced []*flow
+	for i := range p.flows {
+		f := &p.flows[i]
+		first := f.zone * (p.groups + 1)
+		mean, g := sum(room[first:first+p.groups])/float64(p.groups), p.homes[f.proxy]
+		switch home, has := p.homes[f.proxy]; {
+		case p.groups > 1 && f.total > 0.5*mean:
+			g = p.groups
+		case !has || home == p.groups && p.groups > 1 && f.total < 0.25*mean:
+			unplaced = append(unplaced, f)
+			continue
+		}
+		p.homes[f.proxy], f.crew = g, first+g
+		load[f.crew] += f.total
+	}
+	slices.SortStableFunc(unplaced, func(a, b *flow) int { return cmp.Compare(b.total, a.total) })
+	for _, f := range unplaced {
+		first, best := f.zone*(p.groups+1), 0
+		for g := range p.groups {
+			if (load[first+g]+f.total)*room[first+best] < (load[first+best]+f.total)*room[first+g] {
+				best = g
+			}
+		}
+		p.homes[f.proxy], f.crew = best, first+best
+		load[f.crew] += f.total
+	}
+	for z := range p.zones {
+		first := z * (p.groups + 1)
+		p.even(fleet, worth[first:first+p.groups], z)
+		if round {
+			p.rebind(load[first:first+p.groups], room[first:first+p.groups], first)
+		}
+	}
+}
+
+// even moves backends from the zone's group that is worth the most to the one that is worth the least when
+// drains or failures have left them unequal.
+func (p *planner) even(fleet []view, worth []float64, z int) {
+	for range 3 {
+		rich, poor := slices.Max(worth), slices.Min(worth)
+		from, to := slices.Index(worth, rich), slices.Index(worth, poor)
+		if rich < 2*poor || rich == 0 {
+			return
+		}
+		i := slices.IndexFunc(fleet, func(v view) bool {
+			return v.zone == z && p.member[v.id] == from && p.usable(v, z) && v.worth < 0.7*(rich-poor)
+		})
+		if i < 0 {
+			return
+		}
+		p.member[fleet[i].id] = to
+		worth[from] -= fleet[i].worth
+		worth[to] += fleet[i].worth
+	}
+}
+
+// rebind moves a proxy from the zone's fullest group to its emptiest, seldom: only where they differ by much,
+// the zone is no quiet one, and the proxy has not been moved of late.
+func (p *planner) rebind(load, room []float64, first int) {
+	const rest = 10 // rounds
+	if len(load) < 2 || sum(load) < 0.5*sum(room) {
+		return
+	}
+	for range 1 + len(p.flows)/50 {
+		hot, cool := 0, 0
+		for g := range load {
+			if load[g]*room[hot] > load[hot]*room[g] {
+				hot = g
+			}
+			if load[g]*room[cool] < load[cool]*room[g] {
+				cool = g
+			}
+		}
+		if room[cool] == 0 || load[hot]*room[cool] < 1.25*load[cool]*room[hot] {
+			return
+		}
+		gap := (load[hot]*room[cool] - load[cool]*room[hot]) / (room[hot] + room[cool])
+		var best *flow
+		for i := range p.flows {
+			f := &p.flows[i]
+			if f.crew == first+hot && f.total < 1.5*gap && p.round-p.moved[f.proxy] >= rest &&
+				(best == nil || math.Abs(f.total-gap) < math.Abs(best.total-gap)) {
+				best = f
+			}
+		}
+		if best == nil {
+			return
+		}
+		p.homes[best.proxy], best.crew, p.moved[best.proxy] = cool, first+cool, p.round
+		load[hot] -= best.total
+		load[cool] += best.total
+	}
+}
+
 // plan decides tables and levels anew from what the parts have told; the channel sends what differs.
 func (p *planner) plan() {
-	fleet, asked := p.fleet(), make([]float64, len(p.zones))
+	round := p.fresh
+	fleet := p.fleet()
+	p.asked = make([]float64, len(p.zones))
 	p.look(fleet)
+	p.pack(fleet, round)
 	w := want{homes: map[control.Proxy]control.Table{}, urgent: p.urgent}
+	crews := make([]float64, len(p.prices)) // reqs a second asked
+	usage := make([]float64, len(p.prices)*len(p.sets))
 	for _, f := range p.flows {
-		asked[f.zone] += f.total
-		w.homes[f.proxy] = control.Table(f.zone * len(p.sets))
+		p.asked[f.zone] += f.total
+		crews[f.crew] += f.total
+		for s, set := range p.sets {
+			for k, u := range f.usage {
+				if set.mask&(1<<k) != 0 {
+					usage[f.crew*len(p.sets)+s] += u
+				}
+			}
+		}
+		w.homes[f.proxy] = control.Table(f.crew * len(p.sets))
 	}
-	p.parts = map[control.Backend][]float64{}
+	p.loads = map[control.Backend][]float64{}
 	for _, v := range fleet {
-		p.parts[v.id] = make([]float64, len(p.zones))
+		p.loads[v.id] = make([]float64, len(p.prices))
 	}
-	openness := p.openness(fleet, asked)
-	w.lines = make([][]line, len(p.zones)*len(p.sets))
+	openness := p.openness(fleet, p.asked)
+	w.lines = make([][]line, len(usage))
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
 	for s, set := range p.sets {
-		for z := range p.zones {
-			lines, weight, usage := p.table(fleet, set, z, openness[z], taken), 0.0, 0.0
-			w.lines[z*len(p.sets)+s] = lines
+		for c := range p.prices {
+			z := p.zoneOf(c)
+			lines, weight, t := p.table(fleet, set, z, c%(p.groups+1), openness[z], taken), 0.0, c*len(p.sets)+s
+			w.lines[t] = lines
 			for _, l := range lines {
 				weight += l.weight
 			}
-			for _, f := range p.flows {
-				for k, u := range f.usage {
-					if f.zone == z && set.mask&(1<<k) != 0 {
-						usage += u / max(asked[z], 1e-9)
-					}
-				}
-			}
 			for _, l := range lines {
-				p.parts[l.backend][z] += usage * l.weight / weight
+				p.loads[l.backend][c] += usage[t] * l.weight / weight
 				if set.bound() {
-					taken[l.backend] += usage * asked[z] * l.weight / weight
+					taken[l.backend] += usage[t] * l.weight / weight
 				}
 			}
 		}
 	}
-	p.admission(fleet, asked)
+	p.admission(fleet, crews)
 	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known
 	// again.
 	if p.known || p.letIn > 0 {
@@ -444,18 +600,20 @@
 
 // table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the
 // fleet's mean, so that a line changes only when its backend, or the openness, does.
-func (p *planner) table(fleet []view, set kindSet, z int, openness float64,
+func (p *planner) table(fleet []view, set kindSet, z, g int, openness float64,
 	taken map[control.Backend]float64) []line {
 	mean, home := 0.0, false
 	for _, v := range fleet {
 		mean += v.worth / float64(len(fleet))
-		home = home || v.zone == z && p.allowed(v, set, z) && p.usable(v, z)
+		home = home || v.zone == z && p.in(v, g) && p.allowed(v, set, z) && p.usable(v, z)
 	}
 	var lines, last []line
 	for _, v := range fleet {
 		if p.allowed(v, set, z) {
 			l := line{v.id, max(0.01, v.room/mean)}
-			last = append(last, l)
+			if last = append(last, l); !p.in(v, g) {
+				continue
+			}
 			if !set.bound() { // what serves bound kinds as well gets the less of the others
 				l.weight *= max(0.2, 1-taken[v.id]/max(v.room*p.use, 1e-9))
 			}
@@ -477,11 +635,11 @@
 // unsent is safe. everything is a level that turns nothing away.
 const step, everything = 0.05, 1e6
 
-// admission runs the design's price step and F-NORM on each zone's group and publishes the traffic-weighted
+// admission runs the design's price step and F-NORM on each group and publishes the traffic-weighted
 // mean of the groups' levels, only while load is above 90% of the summed capacity and only on moves past the
 // threshold.
 func (p *planner) admission(fleet []view, asked []float64) {
-	capacity, limited := make([]float64, len(p.zones)), false
+	capacity, limited := make([]float64, len(asked)), false
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
@@ -494,17 +652,14 @@
 		c *= 1 - min(0.5, max(0, v.answer-0.45*float64(v.target))/float64(4*v.period))
 		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
 
-		load := v.foreign
-		for z, part := range p.parts[v.id] {
-			load += part * asked[z]
-		}
-		for z, part := range p.parts[v.id] { // several controllers: their proxies' share
-			capacity[z] += (1 - step) * c * part * asked[z] / max(load, 1e-9)
+		load := v.foreign + sum(p.loads[v.id])
+		for crew, part := range p.loads[v.id] { // several controllers: their proxies' share
+			capacity[crew] += (1 - step) * c * part / max(load, 1e-9)
 		}
 	}
 	letIn, total, can := 0.0, sum(asked), sum(capacity)
-	for z := range p.zones {
-		letIn += asked[z] * p.group(z, asked[z], capacity[z])
+	for crew := range asked {
+		letIn += asked[crew] * p.group(crew, asked[crew], capacity[crew])
 	}
 	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
 	limited = limited || p.known && total > can
@@ -519,32 +674,34 @@
 	}
 }
 
-// group takes price steps of a zone's group (paper, algorithm 1), then F-NORM, and returns the group's level:
+// group takes price steps of a group (paper, algorithm 1), then F-NORM, and returns the group's level:
 // the part of its usage that its capacity lets in.
-func (p *planner) group(z int, asked, capacity float64) float64 {
+func (p *planner) group(crew int, asked, capacity float64) float64 {
 	const gamma = 0.4 // the paper's
 	floor, rates := 1.0, 0.0
+	var flows []float64
 	for _, f := range p.flows {
-		if f.zone == z {
+		if f.crew == crew {
+			flows = append(flows, f.total)
 			// At the floor the largest proxy is let have twice its usage. A lower price says no more, and
 			// with all rates capped the slope would be 0 and the price stuck.
 			floor = min(floor, 0.5/max(f.total, 0.5))
 		}
 	}
 	for range 30 { // the paper's allocator steps all the time, ours between reports
-		price, slope := max(floor, p.prices[z]), 0.0
+		price, slope := max(floor, p.prices[crew]), 0.0
 		rates = 0
-		for _, f := range p.flows {
-			if x := 1 / price; f.zone == z && x <= 2*f.total {
+		for _, total := range flows {
+			if x := 1 / price; x <= 2*total {
 				rates, slope = rates+x, slope-x*x
-			} else if f.zone == z {
-				rates += 2 * f.total
+			} else {
+				rates += 2 * total
 			}
 		}
 		if slope < 0 {
 			price -= gamma * (rates - capacity) / slope
 		}
-		p.prices[z] = max(floor, price)
+		p.prices[crew] = max(floor, price)
 	}
 	over := max(1, rates/max(capacity, 1e-9)) // F-NORM
 	return min(1, rates/over/max(asked, 1e-9))
@@ -624,14 +781,7 @@
 // whatever the stated pace, so that a channel that runs slow holds back by itself; routine leaves half of
 // each limit to what is urgent, and the last messages are left to proxies that join.
 func (c *channel) free(now micros, urgent bool) bool {
-	waiting, messages := 0.0, 0
-	for _, s := range c.streams {
-		for _, m := range s.unsaid {
-			waiting += m.lines
-		}
-		s.sent = slices.DeleteFunc(s.sent, func(at micros) bool { return now-at > c.span })
-		messages = max(messages, len(s.sent))
-	}
+	waiting, messages := c.waiting(now)
 	every, lines, most := c.period, c.queueCap/4, c.most/2
 	if c.most > 0 {
 		every = max(every, 2*c.span/micros(c.most))
@@ -642,22 +792,41 @@
 	return now-c.lastSent >= every && waiting < lines && (c.most == 0 || messages < most)
 }
 
+// waiting counts the lines that no proxy has acknowledged, and the most messages to one in the span.
+func (c *channel) waiting(now micros) (lines float64, messages int) {
+	for _, s := range c.streams {
+		for _, m := range s.unsaid {
+			lines += m.lines
+		}
+		s.sent = slices.DeleteFunc(s.sent, func(at micros) bool { return now-at > c.span })
+		messages = max(messages, len(s.sent))
+	}
+	return lines, messages
+}
+
 func (c *channel) send(now micros, w want) {
 	// What is urgent, a drain above all, stays so until it has gone out: one that came too soon after another
 	// change must not wait for the routine's turn.
-	if c.urgent = c.urgent || w.urgent; c.free(now, c.urgent) {
+	c.urgent = c.urgent || w.urgent
+	free := c.free(now, c.urgent)
+	if free {
 		c.change(now, w)
 		c.urgent = false
 	}
 	marked := false
+	waiting, _ := c.waiting(now)
 	for _, p := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[p]
-		if home, has := w.homes[p]; has && s.home < 0 {
-			s.home = home
+		home, has := w.homes[p]
+		cost := c.envelope + s.cost
+		for i := range c.masks {
+			cost += float64(len(c.tables[home+control.Table(i)])+len(c.admits)) + 2
+		}
+		// A proxy that joins is bound as soon as the queue has drained enough, one that moves when routine may.
+		if has && s.home != home && (s.home < 0 && waiting+cost < 0.8*c.queueCap || s.home >= 0 && free) {
+			s.home, s.cost = home, cost-c.envelope
 			for i, mask := range c.masks {
-				t := home + control.Table(i)
-				c.out.add(control.Bind{Proxy: p, Table: t, Kinds: mask})
-				s.cost += float64(len(c.tables[t])) + 1
+				c.out.add(control.Bind{Proxy: p, Table: home + control.Table(i), Kinds: mask})
 			}
 		}
 		if s.cost > 0 {
@@ -666,6 +835,7 @@
 				c.out.add(control.Marked{Mark: c.mark})
 			}
 			s.unsaid = append(s.unsaid, posted{c.mark, s.cost + c.envelope + float64(len(c.admits)) + 1})
+			waiting += s.cost + c.envelope + float64(len(c.admits)) + 1
 			s.sent, s.cost = append(s.sent, now), 0
 		}
 	}
@@ -673,12 +843,14 @@
 
 // change sends the lines and levels that differ by enough from those sent, and counts them by proxy.
 func (c *channel) change(now micros, w want) {
-	charge := func(has func(s *stream) bool) {
-		for _, s := range c.streams {
-			if has(s) {
-				s.cost++
-				c.lastSent = now
-			}
+	users := map[control.Table][]*stream{} // by the first of their tables
+	for _, s := range c.streams {
+		users[s.home] = append(users[s.home], s)
+	}
+	charge := func(streams []*stream) {
+		for _, s := range streams {
+			s.cost++
+			c.lastSent = now
 		}
 	}
 	for i, lines := range w.lines {
@@ -699,8 +871,7 @@
 					delete(held, b)
 				}
 				c.out.add(control.Line{Table: t, Backend: b, Weight: weight})
-				n := control.Table(len(c.masks))
-				charge(func(s *stream) bool { return s.home >= 0 && t >= s.home && t < s.home+n })
+				charge(users[t-t%control.Table(len(c.masks))])
 			}
 		}
 	}
@@ -708,7 +879,9 @@
 		if c.admits[a.Kinds] != a {
 			c.admits[a.Kinds] = a
 			c.out.add(a)
-			charge(func(*stream) bool { return true })
+			for _, streams := range users {
+				charge(streams)
+			}
 		}
 	}
 }
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -24,7 +24,7 @@
 	note any
 	wake struct{}               // ask for the list
 	beat struct{ span float64 } // a round is over; seconds since the last with reports, 0: none came
-	heed struct{}               // all parts have told what they had to: plan
+	heed struct{}               // all events have been taken: the book tells, then the planner plans
 
 	settled  struct{} // a list newer than the saved one has come
 	roundEnd struct { // planner to a backend: judge what you heard
@@ -45,6 +45,7 @@
 	flow struct { // a proxy and its usage, reqs a second, by request kind and in all
 		proxy         control.Proxy
 		zone          int
+		crew          int       // the planner's: number of its zone's group
 		usage, round  []float64 // round: reqs heard of in this round
 		total         float64
 		joined, known bool
@@ -94,6 +95,7 @@
 type Instance struct {
 	out           *outbox
 	roll          *roll
+	book          *book
 	planner       *planner
 	parts         []part
 	period, round micros // of the reports; when the last round with reports ended
@@ -108,12 +110,13 @@
 		target += k.ResponseTarget / micros(len(up.Kinds))
 	}
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
-	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels)
+	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, up.Proxies, up.Channel.Sockets)
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target, period)
 	})
-	return &Instance{out: out, roll: roll, planner: pl, period: period,
-		parts: []part{roll, newBook(pl, up.Zones, len(up.Kinds)), pl, ch}}
+	book := newBook(pl, up.Zones, len(up.Kinds))
+	return &Instance{out: out, roll: roll, book: book, planner: pl, period: period,
+		parts: []part{roll, book, pl, ch}}
 }
 
 // Take tells the instance what has happened by now and returns what it wants done.
@@ -143,8 +146,10 @@
 		}
 	}
 	in.run(now)
-	in.planner.put(heed{})
-	in.run(now)
+	for _, p := range []part{in.book, in.planner} {
+		p.put(heed{})
+		in.run(now)
+	}
 	return in.out.orders
 }
 
@@ -259,6 +264,8 @@
 	zones   []control.Zone
 	kinds   int
 	flows   map[control.Proxy]*flow
+	due     bool // there is something to tell the planner
+	urgent  bool
 }
 
 func newBook(p *planner, zones []control.Zone, kinds int) *book {
@@ -284,9 +291,17 @@
 	sets        []kindSet
 	views       map[control.Backend]view
 	flows       []flow
-	parts       map[control.Backend][]float64 // of a zone's tries, by zone of the proxies
+	proxies     int                     // of all controllers
+	sockets     int                     // connections that the smallest backend takes
+	groups      int                     // groups a zone; one more stands for all of it
+	member      map[control.Backend]int // group, in its zone
+	homes       map[control.Proxy]int   // group, in its zone
+	moved       map[control.Proxy]int   // round in which it was last moved
+	round       int
+	asked       []float64                     // reqs a second, by zone of the proxies
+	loads       map[control.Backend][]float64 // reqs a second it should get, by crew
 	tries       []float64                     // heard this round, by zone of the proxies
-	prices      []float64                     // by zone group
+	prices      []float64                     // by crew
 	blind       []bool                        // by zone: sick marks are passed over
 	errored     float64                       // tries of this round
 	pace        float64                       // what the fleet does now against the speeds learned one by one
@@ -310,10 +325,11 @@
 func (s kindSet) bound() bool { return s.own || len(s.only) > 0 }
 
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
-	levels control.LevelKind) *planner {
+	levels control.LevelKind, proxies, sockets int) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, waits: 2, pace: 1,
-		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones)),
-		prices: slices.Repeat([]float64{1}, len(zones))} // the paper's start
+		proxies: proxies, sockets: max(1, sockets), member: map[control.Backend]int{},
+		homes: map[control.Proxy]int{}, moved: map[control.Proxy]int{}, asked: make([]float64, len(zones)),
+		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
 	for k, kind := range kinds {
 		s := slices.IndexFunc(p.sets, func(s kindSet) bool {
 			return slices.Equal(s.only, kind.OnlyZones) && s.own == kind.OwnZone
--- a/control/control.go
+++ b/control/control.go
@@ -72,12 +72,14 @@
 	Envelope     float64
 	Transit      Micros
 	WorstTransit Micros
+	Sockets      int // connections that the smallest backends take today
 }
 
 // ReportSettings tell what reports come and how.
 type ReportSettings struct {
 	Period   Micros
-	InReport bool // load figures ride on Heard
+	Intake   float64 // lines a second at most, the oldest first
+	InReport bool    // load figures ride on Heard
 	Fields   []string
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -367,6 +367,7 @@
 			ReloadSpan, Transit         control.Micros
 			WorstTransit                control.Micros
 			Envelope, LinesPerS         float64
+			IngestRate, SocketsMin      float64
 			QueueCap                    float64
 			LevelKind                   string
 		}
@@ -402,8 +403,9 @@
 		ProbeAllowed: in.Caps.Probes, PeersAllowed: in.Caps.Peers,
 	}
 	up.Channel = control.ChannelSettings{LinesPerS: in.Domain.LinesPerS, Envelope: in.Domain.Envelope,
-		Transit: in.Domain.Transit, WorstTransit: in.Domain.WorstTransit}
-	up.Reports = control.ReportSettings{Period: in.Domain.Period, InReport: in.LoadInfo.Source == "inline",
+		Transit: in.Domain.Transit, WorstTransit: in.Domain.WorstTransit,
+		Sockets: int(in.Domain.SocketsMin)}
+	up.Reports = control.ReportSettings{Period: in.Domain.Period, Intake: in.Domain.IngestRate, InReport: in.LoadInfo.Source == "inline",
 		Fields: in.LoadInfo.Fields}
 	switch in.Domain.LevelKind {
 	case "share":
