--- a/choice/choice.go
+++ b/choice/choice.go
@@ -777,54 +777,47 @@
 	}
 }
 
-// free tells whether changes may go out to all. Lines count as queued until a proxy acknowledges them,
-// whatever the stated pace, so that a channel that runs slow holds back by itself; routine leaves half of
-// each limit to what is urgent, and the last messages are left to proxies that join.
-func (c *channel) free(now micros, urgent bool) bool {
-	waiting, messages := c.waiting(now)
-	every, lines, most := c.period, c.queueCap/4, c.most/2
-	if c.most > 0 {
-		every = max(every, 2*c.span/micros(c.most))
-	}
-	if urgent {
-		every, lines, most = every/2, c.queueCap*3/4, c.most-2
-	}
-	return now-c.lastSent >= every && waiting < lines && (c.most == 0 || messages < most)
-}
-
-// waiting counts the lines that no proxy has acknowledged, and the most messages to one in the span.
-func (c *channel) waiting(now micros) (lines float64, messages int) {
+// send brings the proxies nearer to how they should stand, as far as the queue and the messages allow. Lines
+// count as queued until a proxy acknowledges them, whatever the stated pace, so that a channel that runs slow
+// holds back by itself; routine leaves most of each limit to what is urgent, and the last messages are left to
+// proxies that join.
+func (c *channel) send(now micros, w want) {
+	waiting, messages, users := 0.0, 0, map[control.Table][]*stream{} // users by the first of their tables
 	for _, s := range c.streams {
 		for _, m := range s.unsaid {
-			lines += m.lines
+			waiting += m.lines
 		}
 		s.sent = slices.DeleteFunc(s.sent, func(at micros) bool { return now-at > c.span })
 		messages = max(messages, len(s.sent))
+		users[s.home] = append(users[s.home], s)
+	}
+	every, lines, most := c.period, c.queueCap/4, c.most/2
+	if c.most > 0 {
+		every = max(every, 2*c.span/micros(c.most))
 	}
-	return lines, messages
-}
-
-func (c *channel) send(now micros, w want) {
 	// What is urgent, a drain above all, stays so until it has gone out: one that came too soon after another
 	// change must not wait for the routine's turn.
-	c.urgent = c.urgent || w.urgent
-	free := c.free(now, c.urgent)
+	if c.urgent = c.urgent || w.urgent; c.urgent {
+		every, lines, most = every/2, c.queueCap*3/4, c.most-2
+	}
+	free := now-c.lastSent >= every && waiting < lines && (c.most == 0 || messages < most)
 	if free {
-		c.change(now, w)
-		c.urgent = false
+		waiting, c.urgent = c.change(now, w, users, waiting, lines)
 	}
 	marked := false
-	waiting, _ := c.waiting(now)
 	for _, p := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[p]
 		home, has := w.homes[p]
-		cost := c.envelope + s.cost
+		cost := 0.0
 		for i := range c.masks {
 			cost += float64(len(c.tables[home+control.Table(i)])+len(c.admits)) + 2
 		}
-		// A proxy that joins is bound as soon as the queue has drained enough, one that moves when routine may.
-		if has && s.home != home && (s.home < 0 && waiting+cost < 0.8*c.queueCap || s.home >= 0 && free) {
-			s.home, s.cost = home, cost-c.envelope
+		// One that joins is bound as soon as the queue has drained enough, one that moves when routine may.
+		if room := waiting+c.head()+cost < 0.8*c.queueCap; has && s.home != home && room && (s.home < 0 || free) {
+			if s.cost == 0 {
+				waiting += c.head()
+			}
+			s.home, s.cost, waiting = home, s.cost+cost, waiting+cost
 			for i, mask := range c.masks {
 				c.out.add(control.Bind{Proxy: p, Table: home + control.Table(i), Kinds: mask})
 			}
@@ -834,54 +827,82 @@
 				c.mark, marked = (c.mark+1)%65536, true
 				c.out.add(control.Marked{Mark: c.mark})
 			}
-			s.unsaid = append(s.unsaid, posted{c.mark, s.cost + c.envelope + float64(len(c.admits)) + 1})
-			waiting += s.cost + c.envelope + float64(len(c.admits)) + 1
+			s.unsaid = append(s.unsaid, posted{c.mark, s.cost + c.head()})
 			s.sent, s.cost = append(s.sent, now), 0
 		}
 	}
 }
 
-// change sends the lines and levels that differ by enough from those sent, and counts them by proxy.
-func (c *channel) change(now micros, w want) {
-	users := map[control.Table][]*stream{} // by the first of their tables
-	for _, s := range c.streams {
-		users[s.home] = append(users[s.home], s)
-	}
-	charge := func(streams []*stream) {
-		for _, s := range streams {
-			s.cost++
-			c.lastSent = now
-		}
-	}
-	for i, lines := range w.lines {
-		t, wanted := control.Table(i), map[control.Backend]float64{}
-		if c.tables[t] == nil {
-			c.tables[t] = map[control.Backend]float64{}
-		}
-		held := c.tables[t]
-		for b := range held {
-			wanted[b] = 0
-		}
-		for _, l := range lines {
-			wanted[l.backend] = l.weight
-		}
-		for _, b := range slices.Sorted(maps.Keys(wanted)) {
-			if weight, old := wanted[b], held[b]; weight < 0.85*old || weight > 1.18*old {
-				if held[b] = weight; weight == 0 {
-					delete(held, b)
-				}
-				c.out.add(control.Line{Table: t, Backend: b, Weight: weight})
-				charge(users[t-t%control.Table(len(c.masks))])
-			}
+// head is what a message costs besides its own lines; the levels go with each.
+func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
+
+// charge counts lines for proxies and returns what they add to the queue.
+func (c *channel) charge(now micros, streams []*stream, lines float64) (cost float64) {
+	for _, s := range streams {
+		if s.cost == 0 {
+			cost += c.head()
 		}
+		s.cost, cost, c.lastSent = s.cost+lines, cost+lines, now
 	}
+	return cost
+}
+
+// change sends the lines and levels that differ by enough from those sent. A table goes out whole or not at
+// all, those that lose a line first and with more of the queue: what does not fit, be it that half the fleet
+// changed at once, waits for the next turn. It returns the queue and whether something was left.
+func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
+	waiting, most float64) (float64, bool) {
+	left := false
 	for _, a := range w.admits {
-		if c.admits[a.Kinds] != a {
+		if waiting+float64(len(c.streams))*(c.head()+1) > 0.9*c.queueCap {
+			left = true
+		} else if c.admits[a.Kinds] != a {
 			c.admits[a.Kinds] = a
 			c.out.add(a)
 			for _, streams := range users {
-				charge(streams)
+				waiting += c.charge(now, streams, 1)
+			}
+		}
+	}
+	for _, losing := range []bool{true, false} {
+		for i, lines := range w.lines {
+			t, wanted, loses := control.Table(i), map[control.Backend]float64{}, false
+			held := c.tables[t]
+			if held == nil {
+				held = map[control.Backend]float64{}
+				c.tables[t] = held
+			}
+			for b := range held {
+				wanted[b] = 0
+			}
+			for _, l := range lines {
+				wanted[l.backend] = l.weight
+			}
+			for b, weight := range wanted {
+				if loses = loses || weight == 0; weight >= 0.85*held[b] && weight <= 1.18*held[b] {
+					delete(wanted, b)
+				}
+			}
+			streams, n := users[t-t%control.Table(len(c.masks))], float64(len(wanted))
+			if loses != losing || n == 0 {
+				continue
+			}
+			limit := most
+			if losing {
+				limit = 0.9 * c.queueCap
+			}
+			if len(streams) > 0 && waiting+float64(len(streams))*(n+c.head()) > limit {
+				left = true
+				continue
+			}
+			waiting += c.charge(now, streams, n)
+			for _, b := range slices.Sorted(maps.Keys(wanted)) {
+				if held[b] = wanted[b]; held[b] == 0 {
+					delete(held, b)
+				}
+				c.out.add(control.Line{Table: t, Backend: b, Weight: wanted[b]})
 			}
 		}
 	}
+	return waiting, left
 }
