--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,7 +63,11 @@
 			// A new process: what was held against the old one, or learned while it failed, is void.
 			b.limit, b.slow, b.backAt, b.seats = 0, 0, 0, make([]seat, len(b.zones))
 		}
-		b.entry = n
+		// Where gone does not bind, a list that drops what it never called draining may be wrong, and half the
+		// fleet with it: such a backend keeps its lines as long as it answers.
+		if b.stray = b.soft && n.Status == control.Gone && b.entry.Status == control.Ready; !b.stray {
+			b.entry = n
+		}
 		b.tell(now, true)
 	case control.Heard:
 		if z := slices.Index(b.zones, n.Zone); z >= 0 {
@@ -147,6 +151,7 @@
 func (b *backend) judgeSeat(now micros, z int, s *seat, expect, fleet float64) bool {
 	switch {
 	case b.entry.Status != control.Ready || s.sick && now < s.retryAt:
+	case s.sick && b.stray: // not tried again before it is listed
 	case s.sick && b.probes && b.wellAt < s.retryAt:
 		b.out.add(control.Probe{Backend: b.id})
 		s.retryAt = now
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -112,7 +112,7 @@
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
 	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, up.Proxies, up.Channel.Sockets)
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
-		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, target, period)
+		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
 	book := newBook(pl, up.Zones, len(up.Kinds))
 	return &Instance{out: out, roll: roll, book: book, planner: pl, period: period,
@@ -229,7 +229,8 @@
 	zones                []control.Zone
 	cold, target, period micros
 	coldFrom             float64
-	probes               bool
+	probes, soft         bool // soft: gone alone does not bind
+	stray                bool // dropped from the list without a drain
 	entry                control.Entry
 	seats                []seat
 	loads                control.Loads // as told this round
@@ -252,8 +253,8 @@
 }
 
 func newBackend(id control.Backend, out *outbox, p *planner, zones []control.Zone, cold micros,
-	coldFrom float64, probes bool, target, period micros) *backend {
-	return &backend{id: id, out: out, planner: p, zones: zones, cold: cold, coldFrom: coldFrom, probes: probes,
+	coldFrom float64, probes, soft bool, target, period micros) *backend {
+	return &backend{id: id, out: out, planner: p, zones: zones, cold: cold, coldFrom: coldFrom, probes: probes, soft: soft,
 		target: target, period: period, seats: make([]seat, len(zones))}
 }
 
