Capped reports: what is unheard is silent only if older than all that was heard

Cause: at full size 400 lines a second carry a third of the pairs in a round; the rest read as silence, hundreds of backends as sick, usage as zero.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,29 @@
 	"porthub/control"
 )
 
+// beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
+// heard is no sign of silence unless it is older than all that was heard.
+func (in *Instance) beat(now micros) (b beat) {
+	if in.lines > 0 { // after a gap, a round is at most four periods
+		b.span = float64(now-max(in.round, now-4*in.period)) / float64(second)
+		if in.intake > 0 && float64(in.lines) >= 0.9*in.intake*b.span {
+			b.silent = in.longest + 2*in.period
+		}
+		in.round, in.lines, in.longest = now, 0, 0
+	}
+	return b
+}
+
+// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
+// how far a mean goes with it to the new value: half way each round.
+func since(now, last micros, span float64) (seconds, way float64) {
+	seconds = max(span, float64(now-last)/float64(second))
+	if last == 0 {
+		seconds = span
+	}
+	return seconds, 1 - math.Pow(0.5, seconds/span)
+}
+
 func (r *roll) take(_ micros, n note) {
 	switch n := n.(type) {
 	case wake:
@@ -91,16 +114,28 @@
 // judge closes a round of reports and tells whether the backend has become sick.
 func (b *backend) judge(now micros, end roundEnd) bool {
 	var all seat
+	recent := 0.0 // done reqs a second, newest
+	b.served = 0
 	for z := range b.seats {
 		s := &b.seats[z]
 		all.tries += s.tries
 		all.errored += s.errored
 		all.answer += s.answer
+		if s.tries > 0 || now-s.at > end.silent {
+			t, way := since(now, s.at, end.span)
+			recent += (s.tries - s.errored) / t
+			s.served += way * ((s.tries-s.errored)/t - s.served)
+			s.at = now
+		} else {
+			recent += s.served
+			end.expect[z] = 0
+		}
+		b.served += s.served
 		all.sick = b.judgeSeat(now, z, s, end.expect[z], end.errored) || all.sick
 		s.tries, s.errored, s.answer = 0, 0, 0
 	}
 	done := all.tries - all.errored
-	if b.served += 0.5 * (done/end.span - b.served); done > 0 {
+	if done > 0 {
 		b.answer += 0.5 * (all.answer/done - b.answer)
 	}
 	busy, hasBusy := b.loads["busy"]
@@ -108,7 +143,7 @@
 	if told {
 		b.foreign = max(0, rate-b.served)
 	} else if end.all {
-		rate = done / end.span
+		rate = recent
 	}
 	if q, told := b.loads["q"]; told {
 		b.queue = q
@@ -119,7 +154,9 @@
 		b.did, b.busy = rate, busy
 		b.speed.add(busy, busy*end.span, rate*end.span, 12)
 	}
-	b.capacity(all, done, !hasBusy || busy > 0.85)
+	if all.tries > 0 || end.silent == 0 {
+		b.capacity(all, done, !hasBusy || busy > 0.85)
+	}
 	return all.sick
 }
 
@@ -199,7 +236,7 @@
 	b.planner.put(v)
 }
 
-func (k *book) take(_ micros, n note) {
+func (k *book) take(now micros, n note) {
 	switch n := n.(type) {
 	case control.Joined:
 		f := k.flows[n.Proxy]
@@ -208,6 +245,7 @@
 			k.flows[n.Proxy] = f
 		}
 		f.joined, f.zone, f.round = true, slices.Index(k.zones, n.Zone), make([]float64, k.kinds)
+		f.at = slices.Repeat([]micros{now}, k.kinds)
 		for i := range f.usage {
 			if !f.known {
 				f.usage[i] = n.Weight / float64(k.kinds)
@@ -224,10 +262,11 @@
 		}
 	case beat:
 		for _, f := range k.flows {
-			for i := range f.usage { // usage goes half way to what came
-				if n.span > 0 && f.joined {
-					f.usage[i] += 0.5 * (f.round[i]/n.span - f.usage[i])
-					f.round[i], f.known = 0, true
+			for i := range f.usage {
+				if n.span > 0 && f.joined && (f.round[i] > 0 || now-f.at[i] > n.silent) {
+					t, way := since(now, f.at[i], n.span)
+					f.usage[i] += way * (f.round[i]/t - f.usage[i])
+					f.round[i], f.at[i], f.known = 0, now, true
 				}
 			}
 		}
@@ -268,7 +307,7 @@
 	case beat:
 		if p.waits--; n.span > 0 {
 			p.round++
-			p.endRound(n.span)
+			p.endRound(n)
 		}
 	case heed:
 		// A list saved before a crash may name the dead and the newly started as well: until a newer one
@@ -281,10 +320,10 @@
 }
 
 // endRound tells the backends that a round of reports is over, with what they can't see alone.
-func (p *planner) endRound(span float64) {
+func (p *planner) endRound(b beat) {
 	errored := p.errored / max(sum(p.tries), 1)
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
-		end := roundEnd{make([]float64, len(p.zones)), errored, span, p.all}
+		end := roundEnd{make([]float64, len(p.zones)), errored, b.span, b.silent, p.all}
 		for c, load := range p.loads[id] {
 			if z := p.zoneOf(c); p.asked[z] > 0 {
 				end.expect[z] += load / p.asked[z] * p.tries[z]
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -47,7 +47,7 @@
 			TipMultiple: 2.5, Fall: 2_000_000, QueueCap: 5000, MessageCap: 20, MessageSpan: 10_000_000,
 			ProbeAllowed: true},
 		Channel: control.ChannelSettings{LinesPerS: 6000, Envelope: 6, Transit: 200_000, WorstTransit: 600_000},
-		Reports: control.ReportSettings{Period: second, InReport: true, Fields: []string{"busy"}},
+		Reports: control.ReportSettings{Period: second, Intake: 200, InReport: true, Fields: []string{"busy"}},
 		Levels:  control.LevelRate, Proxies: 3,
 	}
 	if change != nil {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -22,14 +22,18 @@
 // Notes between the parts; events are notes too.
 type (
 	note any
-	wake struct{}               // ask for the list
-	beat struct{ span float64 } // a round is over; seconds since the last with reports, 0: none came
-	heed struct{}               // all events have been taken: the book tells, then the planner plans
+	wake struct{} // ask for the list
+	beat struct { // a round is over
+		span   float64 // seconds since the last with reports, 0: none came
+		silent micros  // what was not heard for longer has had no tries
+	}
+	heed struct{} // all events have been taken: the book tells, then the planner plans
 
 	settled  struct{} // a list newer than the saved one has come
 	roundEnd struct { // planner to a backend: judge what you heard
 		expect        []float64 // tries that its lines should have brought, by zone of the proxies
 		errored, span float64   // part of all tries that erred; seconds
+		silent        micros    // as in beat
 		all           bool      // every known proxy is joined: what is heard is all there is
 	}
 	view struct { // a backend to the planner: how it stands
@@ -47,6 +51,7 @@
 		zone          int
 		crew          int       // the planner's: number of its zone's group
 		usage, round  []float64 // round: reqs heard of in this round
+		at            []micros  // until when they are counted
 		total         float64
 		joined, known bool
 	}
@@ -98,8 +103,11 @@
 	book          *book
 	planner       *planner
 	parts         []part
-	period, round micros // of the reports; when the last round with reports ended
-	heard, awake  bool
+	period, round micros  // of the reports; when the last round with reports ended
+	lines         int     // of reports, this round
+	intake        float64 // lines a second at most
+	longest       micros  // period of a line this round
+	awake         bool
 }
 
 // New starts an instance.
@@ -115,7 +123,7 @@
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
 	book := newBook(pl, up.Zones, len(up.Kinds))
-	return &Instance{out: out, roll: roll, book: book, planner: pl, period: period,
+	return &Instance{out: out, roll: roll, book: book, planner: pl, period: period, intake: up.Reports.Intake,
 		parts: []part{roll, book, pl, ch}}
 }
 
@@ -128,17 +136,14 @@
 	}
 	for _, ev := range events {
 		switch e := ev.(type) {
-		case control.Heard, control.Usage:
-			in.heard = true
+		case control.Heard:
+			in.lines, in.longest = in.lines+1, max(in.longest, e.Period)
+		case control.Usage:
+			in.lines, in.longest = in.lines+1, max(in.longest, e.Period)
 		case control.Ring:
 			if ev = (wake{}); e.Token == beatToken {
 				in.out.add(control.Sleep{After: in.period, Token: beatToken})
-				b := beat{}
-				if in.heard { // after a gap, a round is at most four periods
-					b.span = float64(now-max(in.round, now-4*in.period)) / float64(second)
-					in.round, in.heard = now, false
-				}
-				ev = b
+				ev = in.beat(now)
 			}
 		}
 		for _, p := range in.parts {
@@ -247,6 +252,8 @@
 // seat is what the proxies of one zone see of a backend.
 type seat struct {
 	tries, errored, answer float64 // this round
+	served                 float64 // reqs a second done
+	at                     micros  // until when they are counted
 	against                float64 // tries, or tries missed, since one was done
 	sick                   bool
 	retryAt, backoff       micros
