--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,31 +28,6 @@
 	return b
 }
 
-// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
-// how far a mean goes with it to the new value: half way each round.
-func since(now, last micros, span float64) (seconds, way float64) {
-	seconds = max(span, float64(now-last)/float64(second))
-	if last == 0 {
-		seconds = span
-	}
-	return seconds, 1 - math.Pow(0.5, seconds/span)
-}
-
-func (r *roll) take(_ micros, n note) {
-	switch n := n.(type) {
-	case wake:
-		if r.ask {
-			r.out.add(control.Watch{On: true})
-		}
-	case control.Heard:
-		r.pass(n.Backend, n)
-	case control.Probed:
-		r.pass(n.Backend, n)
-	case control.List:
-		r.follow(n)
-	}
-}
-
 func (r *roll) follow(list control.List) {
 	if list.How == control.ListFailed {
 		// One service answers all coordinators: ask again, each time later and not in step with the others.
@@ -227,70 +202,6 @@
 	return min(b.warmth(now), 2*b.coldFrom+float64(now-b.backAt)/float64(5*second))
 }
 
-func (b *backend) tell(now micros, urgent bool) {
-	v := view{backend: *b, box: &b.inbox, zone: slices.Index(b.zones, b.entry.Zone),
-		ready: b.entry.Status == control.Ready, share: b.share(now), urgent: urgent}
-	for _, s := range b.seats {
-		v.sick = append(v.sick, s.sick)
-	}
-	b.planner.put(v)
-}
-
-func (k *book) take(now micros, n note) {
-	switch n := n.(type) {
-	case control.Joined:
-		f := k.flows[n.Proxy]
-		if f == nil {
-			f = &flow{proxy: n.Proxy, usage: make([]float64, k.kinds)}
-			k.flows[n.Proxy] = f
-		}
-		f.joined, f.zone, f.round = true, slices.Index(k.zones, n.Zone), make([]float64, k.kinds)
-		f.at = slices.Repeat([]micros{now}, k.kinds)
-		for i := range f.usage {
-			if !f.known {
-				f.usage[i] = n.Weight / float64(k.kinds)
-			}
-		}
-		k.due, k.urgent = true, true
-	case control.Left:
-		if f := k.flows[n.Proxy]; f != nil {
-			f.joined, k.due = false, true
-		}
-	case control.Usage:
-		if f := k.flows[n.Proxy]; f != nil && f.joined && n.Kind >= 0 && int(n.Kind) < k.kinds {
-			f.round[n.Kind] += float64(n.Reqs)
-		}
-	case beat:
-		for _, f := range k.flows {
-			for i := range f.usage {
-				if n.span > 0 && f.joined && (f.round[i] > 0 || now-f.at[i] > n.silent) {
-					t, way := since(now, f.at[i], n.span)
-					f.usage[i] += way * (f.round[i]/t - f.usage[i])
-					f.round[i], f.at[i], f.known = 0, now, true
-				}
-			}
-		}
-		k.due = true
-	case heed:
-		if k.due {
-			k.tell()
-		}
-	}
-}
-
-func (k *book) tell() {
-	d := demand{all: true, urgent: k.urgent}
-	k.due, k.urgent = false, false
-	for _, id := range slices.Sorted(maps.Keys(k.flows)) {
-		f := *k.flows[id]
-		if d.all = d.all && f.joined; f.joined && f.zone >= 0 {
-			f.usage, f.total = slices.Clone(f.usage), sum(f.usage)
-			d.flows = append(d.flows, f)
-		}
-	}
-	k.planner.put(d)
-}
-
 func (p *planner) take(_ micros, n note) {
 	switch n := n.(type) {
 	case view:
@@ -324,8 +235,8 @@
 	errored := p.errored / max(sum(p.tries), 1)
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		end := roundEnd{make([]float64, len(p.zones)), errored, b.span, b.silent, p.all}
-		for c, load := range p.loads[id] {
-			if z := p.zoneOf(c); p.asked[z] > 0 {
+		for i, load := range p.loads[id] {
+			if z := p.crews[i].zone; p.asked[z] > 0 {
 				end.expect[z] += load / p.asked[z] * p.tries[z]
 			}
 		}
@@ -419,194 +330,172 @@
 		(len(set.only) == 0 || slices.Contains(set.only, p.zones[v.zone]))
 }
 
-// zoneOf is a crew's zone; crews are numbered by zone, then by group.
-func (p *planner) zoneOf(crew int) int { return crew / (p.groups + 1) }
-
-// in tells whether a backend is in a group; the last group has all.
-func (p *planner) in(v view, g int) bool { return g == p.groups || p.member[v.id] == g }
-
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
-// pack packs backends and proxies onto zone-local groups, the design's server groups: one table for all of a
-// large zone costs lines, standstill and connections at each proxy and backend. There are as many groups as
-// keep the connections of a backend, with all zones open, to a third of what the smallest takes, but none
-// starts with under five backends. The last group of a zone stands for the whole zone, for the proxies that
-// are too large for one.
-func (p *planner) pack(fleet []view, round bool) {
-	count := make([]int, len(p.zones))
-	for _, v := range fleet {
-		if v.zone >= 0 {
-			count[v.zone]++
+// found divides the zones into groups, the design's server groups: one table for all of a large zone costs
+// lines, standstill and connections at each proxy and backend. There are as many as keep the connections of a
+// backend, with all zones open, to a third of what the smallest takes, but none starts with under five
+// backends. The last group of a zone stands for the whole of it, for proxies that are too large for one.
+func (p *planner) found(fleet []view) {
+	p.groups = (3*p.proxies + p.sockets - 1) / p.sockets
+	for z := range p.zones {
+		n := 0
+		for _, v := range fleet {
+			if v.zone == z {
+				n++
+			}
+		}
+		if n > 0 {
+			p.groups = max(1, min(p.groups, n/5))
 		}
 	}
-	if p.groups == 0 {
-		p.groups = (3*p.proxies + p.sockets - 1) / p.sockets
-		for _, n := range count {
-			if n > 0 {
-				p.groups = max(1, min(p.groups, n/5))
-			}
+	for z := range p.zones {
+		for g := range p.groups + 1 {
+			p.crews = append(p.crews, crew{zone: z, group: g, price: 1}) // the paper's start
 		}
-		p.prices = slices.Repeat([]float64{1}, len(p.zones)*(p.groups+1)) // the paper's start
 	}
-	worth, room := make([]float64, len(p.prices)), make([]float64, len(p.prices))
-	byPod := slices.Clone(fleet) // dealt out by pod: what strikes one pod strikes few of a group
-	slices.SortStableFunc(byPod, func(a, b view) int { return int(a.entry.Pod) - int(b.entry.Pod) })
+}
+
+// pack packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod, so that what
+// strikes a pod strikes few of a group.
+func (p *planner) pack(fleet []view, round bool) {
+	if p.crews == nil {
+		p.found(fleet)
+	}
+	for i := range p.crews {
+		c := &p.crews[i]
+		c.worth, c.room, c.load, c.flows = 0, 0, 0, nil
+	}
+	byPod := slices.Clone(fleet)
+	slices.SortStableFunc(byPod, func(a, b view) int { return cmp.Compare(a.entry.Pod, b.entry.Pod) })
 	for _, v := range byPod {
 		if v.zone < 0 {
 			continue
 		}
-		first := v.zone * (p.groups + 1)
-		g, has := p.member[v.id]
-		if !has && v.ready {
-			g = slices.Index(worth[first:first+p.groups], slices.Min(worth[first:first+p.groups]))
-			p.member[v.id] = g
-		}
-		if p.usable(v, v.zone) {
-			worth[first+g] += v.worth
-			room[first+g] += v.room
-		}
-	}
-	load := make([]float64, len(p.prices))
-	var unplaced []*flow
-	for i := range p.flows {
-		f := &p.flows[i]
-		first := f.zone * (p.groups + 1)
-		mean, g := sum(room[first:first+p.groups])/float64(p.groups), p.homes[f.proxy]
-		switch home, has := p.homes[f.proxy]; {
-		case p.groups > 1 && f.total > 0.5*mean:
-			g = p.groups
-		case !has || home == p.groups && p.groups > 1 && f.total < 0.25*mean:
-			unplaced = append(unplaced, f)
-			continue
+		if _, has := p.member[v.id]; !has {
+			poor, _ := p.extremes(v.zone, func(c *crew) float64 { return c.worth })
+			p.member[v.id] = poor
+		}
+		if c := &p.crews[p.member[v.id]]; p.usable(v, v.zone) {
+			c.worth, c.room = c.worth+v.worth, c.room+v.room
+			p.whole(v.zone).room += v.room
 		}
-		p.homes[f.proxy], f.crew = g, first+g
-		load[f.crew] += f.total
 	}
-	slices.SortStableFunc(unplaced, func(a, b *flow) int { return cmp.Compare(b.total, a.total) })
-	for _, f := range unplaced {
-		first, best := f.zone*(p.groups+1), 0
-		for g := range p.groups {
-			if (load[first+g]+f.total)*room[first+best] < (load[first+best]+f.total)*room[first+g] {
-				best = g
+	bySize := slices.Clone(p.flows)
+	slices.SortStableFunc(bySize, func(a, b *flow) int { return cmp.Compare(b.total, a.total) })
+	for _, placed := range []bool{true, false} {
+		for _, f := range bySize {
+			whole := p.whole(f.zone)
+			part := f.total * float64(p.groups) / max(whole.room, 1e-9) // of a group
+			home, has := p.homes[f.proxy]
+			wide := has && p.crews[home].group == p.groups
+			if p.groups > 1 && (part > 0.5 || wide && part > 0.25) {
+				home, wide, has = (f.zone+1)*(p.groups+1)-1, false, true
+			}
+			if has = has && !wide; has != placed {
+				continue
 			}
+			if !has {
+				home, _ = p.extremes(f.zone, func(c *crew) float64 { return (c.load + f.total) / max(c.room, 1e-9) })
+			}
+			c := &p.crews[home]
+			p.homes[f.proxy], c.load, c.flows = home, c.load+f.total, append(c.flows, f)
 		}
-		p.homes[f.proxy], f.crew = best, first+best
-		load[f.crew] += f.total
 	}
 	for z := range p.zones {
-		first := z * (p.groups + 1)
-		p.even(fleet, worth[first:first+p.groups], z)
+		p.even(fleet, z)
 		if round {
-			p.rebind(load[first:first+p.groups], room[first:first+p.groups], first)
+			p.rebind(z)
 		}
 	}
 }
 
-// even moves backends from the zone's group that is worth the most to the one that is worth the least when
+// even moves backends from a zone's group that is worth the most to the one that is worth the least when
 // drains or failures have left them unequal.
-func (p *planner) even(fleet []view, worth []float64, z int) {
+func (p *planner) even(fleet []view, z int) {
 	for range 3 {
-		rich, poor := slices.Max(worth), slices.Min(worth)
-		from, to := slices.Index(worth, rich), slices.Index(worth, poor)
-		if rich < 2*poor || rich == 0 {
-			return
-		}
+		poor, rich := p.extremes(z, func(c *crew) float64 { return c.worth })
+		low, high := &p.crews[poor], &p.crews[rich]
 		i := slices.IndexFunc(fleet, func(v view) bool {
-			return v.zone == z && p.member[v.id] == from && p.usable(v, z) && v.worth < 0.7*(rich-poor)
+			return v.zone == z && p.member[v.id] == rich && p.usable(v, z) && v.worth < 0.7*(high.worth-low.worth)
 		})
-		if i < 0 {
+		if i < 0 || high.worth < 2*low.worth {
 			return
 		}
-		p.member[fleet[i].id] = to
-		worth[from] -= fleet[i].worth
-		worth[to] += fleet[i].worth
+		p.member[fleet[i].id] = poor
+		low.worth, high.worth = low.worth+fleet[i].worth, high.worth-fleet[i].worth
 	}
 }
 
-// rebind moves a proxy from the zone's fullest group to its emptiest, seldom: only where they differ by much,
-// the zone is no quiet one, and the proxy has not been moved of late.
-func (p *planner) rebind(load, room []float64, first int) {
-	const rest = 10 // rounds
-	if len(load) < 2 || sum(load) < 0.5*sum(room) {
+// rebind moves a proxy from a zone's fullest group to its emptiest, seldom: only where they differ by much, the
+// zone is no quiet one, and the proxy has not been moved for ten rounds.
+func (p *planner) rebind(z int) {
+	if whole := p.whole(z); p.asked[z] < 0.5*whole.room {
 		return
 	}
 	for range 1 + len(p.flows)/50 {
-		hot, cool := 0, 0
-		for g := range load {
-			if load[g]*room[hot] > load[hot]*room[g] {
-				hot = g
-			}
-			if load[g]*room[cool] < load[cool]*room[g] {
-				cool = g
-			}
-		}
-		if room[cool] == 0 || load[hot]*room[cool] < 1.25*load[cool]*room[hot] {
-			return
-		}
-		gap := (load[hot]*room[cool] - load[cool]*room[hot]) / (room[hot] + room[cool])
-		var best *flow
-		for i := range p.flows {
-			f := &p.flows[i]
-			if f.crew == first+hot && f.total < 1.5*gap && p.round-p.moved[f.proxy] >= rest &&
-				(best == nil || math.Abs(f.total-gap) < math.Abs(best.total-gap)) {
-				best = f
+		empty, full := p.extremes(z, func(c *crew) float64 { return c.load / max(c.room, 1e-9) })
+		cool, hot, best := &p.crews[empty], &p.crews[full], -1
+		gap := (hot.load*cool.room - cool.load*hot.room) / max(hot.room+cool.room, 1e-9)
+		for i, f := range hot.flows {
+			if f.total < 1.5*gap && p.round-p.moved[f.proxy] >= 10 &&
+				(best < 0 || math.Abs(f.total-gap) < math.Abs(hot.flows[best].total-gap)) {
+				best = i
 			}
 		}
-		if best == nil {
+		if best < 0 || hot.load*cool.room < 1.25*cool.load*hot.room {
 			return
 		}
-		p.homes[best.proxy], best.crew, p.moved[best.proxy] = cool, first+cool, p.round
-		load[hot] -= best.total
-		load[cool] += best.total
+		f := hot.flows[best]
+		p.homes[f.proxy], p.moved[f.proxy], cool.flows = empty, p.round, append(cool.flows, f)
+		hot.load, cool.load, hot.flows = hot.load-f.total, cool.load+f.total, slices.Delete(hot.flows, best, best+1)
 	}
 }
 
 // plan decides tables and levels anew from what the parts have told; the channel sends what differs.
 func (p *planner) plan() {
+	clear(p.asked)
+	for _, f := range p.flows {
+		p.asked[f.zone] += f.total
+	}
 	round := p.fresh
 	fleet := p.fleet()
-	p.asked = make([]float64, len(p.zones))
 	p.look(fleet)
 	p.pack(fleet, round)
 	w := want{homes: map[control.Proxy]control.Table{}, urgent: p.urgent}
-	crews := make([]float64, len(p.prices)) // reqs a second asked
-	usage := make([]float64, len(p.prices)*len(p.sets))
 	for _, f := range p.flows {
-		p.asked[f.zone] += f.total
-		crews[f.crew] += f.total
-		for s, set := range p.sets {
-			for k, u := range f.usage {
-				if set.mask&(1<<k) != 0 {
-					usage[f.crew*len(p.sets)+s] += u
-				}
-			}
-		}
-		w.homes[f.proxy] = control.Table(f.crew * len(p.sets))
+		w.homes[f.proxy] = control.Table(p.homes[f.proxy] * len(p.sets))
 	}
 	p.loads = map[control.Backend][]float64{}
 	for _, v := range fleet {
-		p.loads[v.id] = make([]float64, len(p.prices))
+		p.loads[v.id] = make([]float64, len(p.crews))
 	}
 	openness := p.openness(fleet, p.asked)
-	w.lines = make([][]line, len(usage))
+	w.lines = make([][]line, len(p.crews)*len(p.sets))
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
 	for s, set := range p.sets {
-		for c := range p.prices {
-			z := p.zoneOf(c)
-			lines, weight, t := p.table(fleet, set, z, c%(p.groups+1), openness[z], taken), 0.0, c*len(p.sets)+s
-			w.lines[t] = lines
+		for i, c := range p.crews {
+			lines, weight, usage := p.table(fleet, set, c, openness[c.zone], taken), 0.0, 0.0
+			w.lines[i*len(p.sets)+s] = lines
 			for _, l := range lines {
 				weight += l.weight
 			}
+			for _, f := range c.flows {
+				for k, u := range f.usage {
+					if set.mask&(1<<k) != 0 {
+						usage += u
+					}
+				}
+			}
 			for _, l := range lines {
-				p.loads[l.backend][c] += usage[t] * l.weight / weight
+				p.loads[l.backend][i] += usage * l.weight / weight
 				if set.bound() {
-					taken[l.backend] += usage[t] * l.weight / weight
+					taken[l.backend] += usage * l.weight / weight
 				}
 			}
 		}
 	}
-	p.admission(fleet, crews)
+	p.admission(fleet)
 	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known
 	// again.
 	if p.known || p.letIn > 0 {
@@ -644,18 +533,18 @@
 
 // table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the
 // fleet's mean, so that a line changes only when its backend, or the openness, does.
-func (p *planner) table(fleet []view, set kindSet, z, g int, openness float64,
+func (p *planner) table(fleet []view, set kindSet, c crew, openness float64,
 	taken map[control.Backend]float64) []line {
-	mean, home := 0.0, false
+	mean, home, z := 0.0, false, c.zone
 	for _, v := range fleet {
 		mean += v.worth / float64(len(fleet))
-		home = home || v.zone == z && p.in(v, g) && p.allowed(v, set, z) && p.usable(v, z)
+		home = home || v.zone == z && p.in(v, c) && p.allowed(v, set, z) && p.usable(v, z)
 	}
 	var lines, last []line
 	for _, v := range fleet {
 		if p.allowed(v, set, z) {
 			l := line{v.id, max(0.01, v.room/mean)}
-			if last = append(last, l); !p.in(v, g) {
+			if last = append(last, l); !p.in(v, c) {
 				continue
 			}
 			if !set.bound() { // what serves bound kinds as well gets the less of the others
@@ -682,8 +571,8 @@
 // admission runs the design's price step and F-NORM on each group and publishes the traffic-weighted
 // mean of the groups' levels, only while load is above 90% of the summed capacity and only on moves past the
 // threshold.
-func (p *planner) admission(fleet []view, asked []float64) {
-	capacity, limited := make([]float64, len(asked)), false
+func (p *planner) admission(fleet []view) {
+	capacity, limited, letIn := make([]float64, len(p.crews)), false, 0.0
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
@@ -695,15 +584,14 @@
 		// time.
 		c *= 1 - min(0.5, max(0, v.answer-0.45*float64(v.target))/float64(4*v.period))
 		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
-
 		load := v.foreign + sum(p.loads[v.id])
-		for crew, part := range p.loads[v.id] { // several controllers: their proxies' share
-			capacity[crew] += (1 - step) * c * part / max(load, 1e-9)
+		for i, part := range p.loads[v.id] { // several controllers: their proxies' share
+			capacity[i] += (1 - step) * c * part / max(load, 1e-9)
 		}
 	}
-	letIn, total, can := 0.0, sum(asked), sum(capacity)
-	for crew := range asked {
-		letIn += asked[crew] * p.group(crew, asked[crew], capacity[crew])
+	total, can := sum(p.asked), sum(capacity)
+	for i := range p.crews {
+		letIn += p.crews[i].let(capacity[i])
 	}
 	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
 	limited = limited || p.known && total > can
@@ -718,37 +606,29 @@
 	}
 }
 
-// group takes price steps of a group (paper, algorithm 1), then F-NORM, and returns the group's level:
-// the part of its usage that its capacity lets in.
-func (p *planner) group(crew int, asked, capacity float64) float64 {
+// let takes price steps of a group (paper, algorithm 1), then F-NORM, and returns what its capacity lets in.
+func (c *crew) let(capacity float64) float64 {
 	const gamma = 0.4 // the paper's
 	floor, rates := 1.0, 0.0
-	var flows []float64
-	for _, f := range p.flows {
-		if f.crew == crew {
-			flows = append(flows, f.total)
-			// At the floor the largest proxy is let have twice its usage. A lower price says no more, and
-			// with all rates capped the slope would be 0 and the price stuck.
-			floor = min(floor, 0.5/max(f.total, 0.5))
-		}
+	for _, f := range c.flows {
+		// At the floor the largest proxy is let have twice its usage. A lower price says no more, and with all
+		// rates capped the slope would be 0 and the price stuck.
+		floor = min(floor, 0.5/max(f.total, 0.5))
 	}
 	for range 30 { // the paper's allocator steps all the time, ours between reports
-		price, slope := max(floor, p.prices[crew]), 0.0
-		rates = 0
-		for _, total := range flows {
-			if x := 1 / price; x <= 2*total {
-				rates, slope = rates+x, slope-x*x
-			} else {
-				rates += 2 * total
+		slope := 0.0
+		rates, c.price = 0, max(floor, c.price)
+		for _, f := range c.flows {
+			x := 1 / c.price
+			if rates += min(x, 2*f.total); x <= 2*f.total {
+				slope -= x * x
 			}
 		}
 		if slope < 0 {
-			price -= gamma * (rates - capacity) / slope
+			c.price = max(floor, c.price-gamma*(rates-capacity)/slope)
 		}
-		p.prices[crew] = max(floor, price)
 	}
-	over := max(1, rates/max(capacity, 1e-9)) // F-NORM
-	return min(1, rates/over/max(asked, 1e-9))
+	return min(c.load, rates/max(1, rates/max(capacity, 1e-9))) // F-NORM
 }
 
 // deal deals what is let in out to the request kinds; those of the least payoff are turned away first.
@@ -805,22 +685,6 @@
 	return high
 }
 
-func (c *channel) take(now micros, n note) {
-	switch n := n.(type) {
-	case control.Joined:
-		c.streams[n.Proxy] = &stream{home: -1}
-	case control.Left:
-		delete(c.streams, n.Proxy)
-	case control.Applied:
-		if s := c.streams[n.Proxy]; s != nil {
-			i := slices.IndexFunc(s.unsaid, func(m posted) bool { return m.mark == n.Mark })
-			s.unsaid = s.unsaid[i+1:]
-		}
-	case want:
-		c.send(now, n)
-	}
-}
-
 // send brings the proxies nearer to how they should stand, as far as the queue and the messages allow. Lines
 // count as queued until a proxy acknowledges them, whatever the stated pace, so that a channel that runs slow
 // holds back by itself; routine leaves most of each limit to what is urgent, and the last messages are left to
@@ -877,20 +741,6 @@
 	}
 }
 
-// head is what a message costs besides its own lines; the levels go with each.
-func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
-
-// charge counts lines for proxies and returns what they add to the queue.
-func (c *channel) charge(now micros, streams []*stream, lines float64) (cost float64) {
-	for _, s := range streams {
-		if s.cost == 0 {
-			cost += c.head()
-		}
-		s.cost, cost, c.lastSent = s.cost+lines, cost+lines, now
-	}
-	return cost
-}
-
 // change sends the lines and levels that differ by enough from those sent. A table goes out whole or not at
 // all, those that lose a line first and with more of the queue: what does not fit, be it that half the fleet
 // changed at once, waits for the next turn. It returns the queue and whether something was left.
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"maps"
+	"math"
 	"slices"
 
 	"porthub/control"
@@ -49,14 +51,13 @@
 	flow struct { // a proxy and its usage, reqs a second, by request kind and in all
 		proxy         control.Proxy
 		zone          int
-		crew          int       // the planner's: number of its zone's group
 		usage, round  []float64 // round: reqs heard of in this round
 		at            []micros  // until when they are counted
 		total         float64
 		joined, known bool
 	}
 	demand struct { // book to the planner: the joined proxies
-		flows       []flow
+		flows       []*flow
 		all, urgent bool
 	}
 	line struct {
@@ -195,6 +196,16 @@
 	return n, sum
 }
 
+// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
+// how far a mean goes with it to the new value: half way each round.
+func since(now, last micros, span float64) (seconds, way float64) {
+	seconds = max(span, float64(now-last)/float64(second))
+	if last == 0 {
+		seconds = span
+	}
+	return seconds, 1 - math.Pow(0.5, seconds/span)
+}
+
 // roll follows the list and keeps the actors, in the order in which they were first listed.
 type roll struct {
 	inbox
@@ -212,6 +223,21 @@
 	return &roll{out: out, planner: p, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{}}
 }
 
+func (r *roll) take(_ micros, n note) {
+	switch n := n.(type) {
+	case wake:
+		if r.ask {
+			r.out.add(control.Watch{On: true})
+		}
+	case control.Heard:
+		r.pass(n.Backend, n)
+	case control.Probed:
+		r.pass(n.Backend, n)
+	case control.List:
+		r.follow(n)
+	}
+}
+
 // chance draws from 0 to under 1.
 func (r *roll) chance() float64 {
 	r.draws++
@@ -265,6 +291,15 @@
 		target: target, period: period, seats: make([]seat, len(zones))}
 }
 
+func (b *backend) tell(now micros, urgent bool) {
+	v := view{backend: *b, box: &b.inbox, zone: slices.Index(b.zones, b.entry.Zone),
+		ready: b.entry.Status == control.Ready, share: b.share(now), urgent: urgent}
+	for _, s := range b.seats {
+		v.sick = append(v.sick, s.sick)
+	}
+	b.planner.put(v)
+}
+
 // book keeps the proxies and what comes to them.
 type book struct {
 	inbox
@@ -280,6 +315,61 @@
 	return &book{planner: p, zones: zones, kinds: kinds, flows: map[control.Proxy]*flow{}}
 }
 
+func (k *book) take(now micros, n note) {
+	switch n := n.(type) {
+	case control.Joined:
+		f := k.flows[n.Proxy]
+		if f == nil {
+			f = &flow{proxy: n.Proxy, usage: make([]float64, k.kinds)}
+			k.flows[n.Proxy] = f
+		}
+		f.joined, f.zone, f.round = true, slices.Index(k.zones, n.Zone), make([]float64, k.kinds)
+		f.at = slices.Repeat([]micros{now}, k.kinds)
+		for i := range f.usage {
+			if !f.known {
+				f.usage[i] = n.Weight / float64(k.kinds)
+			}
+		}
+		k.due, k.urgent = true, true
+	case control.Left:
+		if f := k.flows[n.Proxy]; f != nil {
+			f.joined, k.due = false, true
+		}
+	case control.Usage:
+		if f := k.flows[n.Proxy]; f != nil && f.joined && n.Kind >= 0 && int(n.Kind) < k.kinds {
+			f.round[n.Kind] += float64(n.Reqs)
+		}
+	case beat:
+		for _, f := range k.flows {
+			for i := range f.usage {
+				if n.span > 0 && f.joined && (f.round[i] > 0 || now-f.at[i] > n.silent) {
+					t, way := since(now, f.at[i], n.span)
+					f.usage[i] += way * (f.round[i]/t - f.usage[i])
+					f.round[i], f.at[i], f.known = 0, now, true
+				}
+			}
+		}
+		k.due = true
+	case heed:
+		if k.due {
+			k.tell()
+		}
+	}
+}
+
+func (k *book) tell() {
+	d := demand{all: true, urgent: k.urgent}
+	k.due, k.urgent = false, false
+	for _, id := range slices.Sorted(maps.Keys(k.flows)) {
+		f := *k.flows[id] // a copy
+		if d.all = d.all && f.joined; f.joined && f.zone >= 0 {
+			f.usage, f.total = slices.Clone(f.usage), sum(f.usage)
+			d.flows = append(d.flows, &f)
+		}
+	}
+	k.planner.put(d)
+}
+
 func sum(values []float64) float64 {
 	all := 0.0
 	for _, v := range values {
@@ -298,18 +388,18 @@
 	levels      control.LevelKind
 	sets        []kindSet
 	views       map[control.Backend]view
-	flows       []flow
+	flows       []*flow
 	proxies     int                     // of all controllers
 	sockets     int                     // connections that the smallest backend takes
-	groups      int                     // groups a zone; one more stands for all of it
-	member      map[control.Backend]int // group, in its zone
-	homes       map[control.Proxy]int   // group, in its zone
+	groups      int                     // in a zone; one more stands for all of it
+	crews       []crew                  // the groups, by zone
+	member      map[control.Backend]int // its crew
+	homes       map[control.Proxy]int   // its crew
 	moved       map[control.Proxy]int   // round in which it was last moved
 	round       int
 	asked       []float64                     // reqs a second, by zone of the proxies
 	loads       map[control.Backend][]float64 // reqs a second it should get, by crew
 	tries       []float64                     // heard this round, by zone of the proxies
-	prices      []float64                     // by crew
 	blind       []bool                        // by zone: sick marks are passed over
 	errored     float64                       // tries of this round
 	pace        float64                       // what the fleet does now against the speeds learned one by one
@@ -362,6 +452,39 @@
 	return p
 }
 
+// crew is a group of a zone's backends and the proxies bound to it.
+type crew struct {
+	zone, group int     // group p.groups is all of the zone
+	worth, room float64 // of its usable backends
+	load        float64 // usage of its proxies
+	price       float64
+	flows       []*flow
+}
+
+// whole is the crew of all of a zone.
+func (p *planner) whole(z int) *crew { return &p.crews[(z+1)*(p.groups+1)-1] }
+
+// in tells whether a backend is in a crew, or of the group of the same number in another zone.
+func (p *planner) in(v view, c crew) bool {
+	home, has := p.member[v.id]
+	return c.group == p.groups || has && p.crews[home].group == c.group
+}
+
+// extremes finds the crews of a zone, but for the whole, of which something is the least and the most.
+func (p *planner) extremes(z int, of func(c *crew) float64) (least, most int) {
+	first := z * (p.groups + 1)
+	least, most = first, first
+	for i := first; i < first+p.groups; i++ {
+		if of(&p.crews[i]) < of(&p.crews[least]) {
+			least = i
+		}
+		if of(&p.crews[i]) > of(&p.crews[most]) {
+			most = i
+		}
+	}
+	return least, most
+}
+
 // channel sends what differs from what the proxies hold, within the limits on lines and messages.
 type channel struct {
 	inbox
@@ -396,3 +519,33 @@
 		tables: map[control.Table]map[control.Backend]float64{}, admits: map[control.Kinds]control.Admit{},
 		streams: map[control.Proxy]*stream{}}
 }
+
+func (c *channel) take(now micros, n note) {
+	switch n := n.(type) {
+	case control.Joined:
+		c.streams[n.Proxy] = &stream{home: -1}
+	case control.Left:
+		delete(c.streams, n.Proxy)
+	case control.Applied:
+		if s := c.streams[n.Proxy]; s != nil {
+			i := slices.IndexFunc(s.unsaid, func(m posted) bool { return m.mark == n.Mark })
+			s.unsaid = s.unsaid[i+1:]
+		}
+	case want:
+		c.send(now, n)
+	}
+}
+
+// head is what a message costs besides its own lines; the levels go with each.
+func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
+
+// charge counts lines for proxies and returns what they add to the queue.
+func (c *channel) charge(now micros, streams []*stream, lines float64) (cost float64) {
+	for _, s := range streams {
+		if s.cost == 0 {
+			cost += c.head()
+		}
+		s.cost, cost, c.lastSent = s.cost+lines, cost+lines, now
+	}
+	return cost
+}
