--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,10 @@
 	"porthub/control"
 )
 
+// shortest is the least period at which anything is decided; patience the beats that a saved list waits for a
+// newer one.
+const shortest, patience = second / 10, 2
+
 // beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
 // heard is no sign of silence unless it is older than all that was heard.
 func (in *Instance) beat(now micros) (b beat) {
@@ -28,61 +32,44 @@
 	return b
 }
 
-func (r *roll) follow(list control.List) {
-	if list.How == control.ListFailed {
-		// One service answers all coordinators: ask again, each time later and not in step with the others.
-		r.fails = min(r.fails+1, 4)
-		after := float64(second) * float64(r.fails) * (0.25 + 0.5*r.chance())
-		r.out.add(control.Sleep{After: micros(after), Token: listToken})
-		return
-	}
-	if r.fails = 0; list.How != control.ListSaved {
-		r.planner.put(settled{})
-	}
-	seen := map[control.Backend]bool{}
-	for _, e := range list.Entries {
-		if seen[e.Backend] = true; r.actors[e.Backend] == nil && e.Status != control.Gone {
-			b := r.actor(e.Backend)
-			r.actors[e.Backend], r.order = b, append(r.order, b)
-		}
-		r.pass(e.Backend, e)
-	}
-	for _, b := range r.order {
-		if list.How != control.ListChanges && !seen[b.id] {
-			b.put(control.Entry{Backend: b.id, Zone: b.entry.Zone, Weight: b.entry.Weight, Status: control.Gone})
+// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
+// how far a mean goes with it to the new value: half way each round.
+func since(now, last micros, span float64) (seconds, way float64) {
+	seconds = max(span, float64(now-last)/float64(second))
+	if last == 0 {
+		seconds = span
+	}
+	return seconds, 1 - math.Pow(0.5, seconds/span)
+}
+
+// count takes a round's reqs into what is known of a proxy's usage.
+func (f *flow) count(now micros, b beat) {
+	for i := range f.usage {
+		if f.round[i] > 0 || now-f.at[i] > b.silent {
+			t, way := since(now, f.at[i], b.span)
+			f.usage[i] += way * (f.round[i]/t - f.usage[i])
+			f.round[i], f.at[i], f.known = 0, now, true
 		}
 	}
 }
 
-func (b *backend) take(now micros, n note) {
-	switch n := n.(type) {
-	case control.Entry:
-		if n.Launched > b.entry.Launched {
-			// A new process: what was held against the old one, or learned while it failed, is void.
-			b.limit, b.slow, b.backAt, b.seats = 0, 0, 0, make([]seat, len(b.zones))
-		}
-		// Where gone does not bind, a list that drops what it never called draining may be wrong, and half the
-		// fleet with it: such a backend keeps its lines as long as it answers.
-		if b.stray = b.soft && n.Status == control.Gone && b.entry.Status == control.Ready; !b.stray {
-			b.entry = n
-		}
-		b.tell(now, true)
-	case control.Heard:
-		if z := slices.Index(b.zones, n.Zone); z >= 0 {
-			s := &b.seats[z]
-			s.tries += float64(n.Tries)
-			s.errored += float64(n.Errored)
-			s.answer += float64(n.Tries-n.Errored) * float64(n.Answer)
-			if n.Loads != nil {
-				b.loads = n.Loads
-			}
-		}
-	case control.Probed:
-		if n.OK {
-			b.wellAt = now
-		}
-	case roundEnd:
-		b.tell(now, b.judge(now, n))
+// again asks for the list once more after a failure. One service answers all coordinators: each time later, and
+// not in step with the others.
+func (r *roll) again() {
+	r.fails = min(r.fails+1, 4)
+	after := float64(second) * float64(r.fails) * (0.25 + 0.5*r.chance())
+	r.out.add(control.Sleep{After: micros(after), Token: listToken})
+}
+
+func (b *backend) listed(e control.Entry) {
+	if e.Launched > b.entry.Launched {
+		// A new process: what was held against the old one, or learned while it failed, is void.
+		b.limit, b.slow, b.backAt, b.seats = 0, 0, 0, make([]seat, len(b.zones))
+	}
+	// Where gone does not bind, a list that drops what it never called draining may be wrong, and half the
+	// fleet with it: such a backend keeps its lines as long as it answers.
+	if b.stray = b.soft && e.Status == control.Gone && b.entry.Status == control.Ready; !b.stray {
+		b.entry = e
 	}
 }
 
@@ -202,34 +189,6 @@
 	return min(b.warmth(now), 2*b.coldFrom+float64(now-b.backAt)/float64(5*second))
 }
 
-func (p *planner) take(_ micros, n note) {
-	switch n := n.(type) {
-	case view:
-		p.views[n.id], p.due, p.urgent = n, true, p.urgent || n.urgent
-	case demand:
-		p.flows, p.all, p.due, p.urgent = n.flows, n.all, true, p.urgent || n.urgent
-	case control.Heard:
-		if z := slices.Index(p.zones, n.Zone); z >= 0 {
-			p.tries[z] += float64(n.Tries)
-			p.errored += float64(n.Errored)
-		}
-	case settled:
-		p.waits = 0
-	case beat:
-		if p.waits--; n.span > 0 {
-			p.round++
-			p.endRound(n)
-		}
-	case heed:
-		// A list saved before a crash may name the dead and the newly started as well: until a newer one
-		// comes, for two beats at most, the proxies keep what they hold.
-		if p.due && p.waits <= 0 && len(p.views) > 0 {
-			p.plan()
-			p.due, p.urgent = false, false
-		}
-	}
-}
-
 // endRound tells the backends that a round of reports is over, with what they can't see alone.
 func (p *planner) endRound(b beat) {
 	errored := p.errored / max(sum(p.tries), 1)
@@ -504,6 +463,23 @@
 	p.channel.put(w)
 }
 
+// setsOf puts the kinds that may go to the same zones together: each set has tables of its own. Those that may
+// not go everywhere come first.
+func setsOf(kinds []control.KindSettings) (sets []kindSet) {
+	for _, bound := range []bool{true, false} {
+		for k, kind := range kinds {
+			set := kindSet{1 << k, kind.OnlyZones, kind.OwnZone}
+			same := func(s kindSet) bool { return s.own == set.own && slices.Equal(s.only, set.only) }
+			if i := slices.IndexFunc(sets, same); i >= 0 {
+				sets[i].mask |= set.mask
+			} else if set.bound() == bound {
+				sets = append(sets, set)
+			}
+		}
+	}
+	return sets
+}
+
 // openness is, by zone, how much weight a backend elsewhere gets beside one at home: 0 keeps all tries at
 // home, 1 treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the
 // fleet, it opens: proxies are unequal and change faster than orders travel, and what one zone has too much
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/crc32"
 	"maps"
-	"math"
 	"slices"
 
 	"porthub/control"
@@ -113,7 +112,7 @@
 
 // New starts an instance.
 func New(up control.Up) *Instance {
-	out, r, period := &outbox{}, up.Rules, max(up.Reports.Period, second/10)
+	out, r, period := &outbox{}, up.Rules, max(up.Reports.Period, shortest)
 	var target micros
 	for _, k := range up.Kinds {
 		target += k.ResponseTarget / micros(len(up.Kinds))
@@ -196,16 +195,6 @@
 	return n, sum
 }
 
-// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
-// how far a mean goes with it to the new value: half way each round.
-func since(now, last micros, span float64) (seconds, way float64) {
-	seconds = max(span, float64(now-last)/float64(second))
-	if last == 0 {
-		seconds = span
-	}
-	return seconds, 1 - math.Pow(0.5, seconds/span)
-}
-
 // roll follows the list and keeps the actors, in the order in which they were first listed.
 type roll struct {
 	inbox
@@ -238,6 +227,29 @@
 	}
 }
 
+func (r *roll) follow(list control.List) {
+	if list.How == control.ListFailed {
+		r.again()
+		return
+	}
+	if r.fails = 0; list.How != control.ListSaved {
+		r.planner.put(settled{})
+	}
+	seen := map[control.Backend]bool{}
+	for _, e := range list.Entries {
+		if seen[e.Backend] = true; r.actors[e.Backend] == nil && e.Status != control.Gone {
+			b := r.actor(e.Backend)
+			r.actors[e.Backend], r.order = b, append(r.order, b)
+		}
+		r.pass(e.Backend, e)
+	}
+	for _, b := range r.order {
+		if list.How != control.ListChanges && !seen[b.id] {
+			b.put(control.Entry{Backend: b.id, Zone: b.entry.Zone, Weight: b.entry.Weight, Status: control.Gone})
+		}
+	}
+}
+
 // chance draws from 0 to under 1.
 func (r *roll) chance() float64 {
 	r.draws++
@@ -291,6 +303,30 @@
 		target: target, period: period, seats: make([]seat, len(zones))}
 }
 
+func (b *backend) take(now micros, n note) {
+	switch n := n.(type) {
+	case control.Entry:
+		b.listed(n)
+		b.tell(now, true)
+	case control.Heard:
+		if z := slices.Index(b.zones, n.Zone); z >= 0 {
+			s := &b.seats[z]
+			s.tries += float64(n.Tries)
+			s.errored += float64(n.Errored)
+			s.answer += float64(n.Tries-n.Errored) * float64(n.Answer)
+			if n.Loads != nil {
+				b.loads = n.Loads
+			}
+		}
+	case control.Probed:
+		if n.OK {
+			b.wellAt = now
+		}
+	case roundEnd:
+		b.tell(now, b.judge(now, n))
+	}
+}
+
 func (b *backend) tell(now micros, urgent bool) {
 	v := view{backend: *b, box: &b.inbox, zone: slices.Index(b.zones, b.entry.Zone),
 		ready: b.entry.Status == control.Ready, share: b.share(now), urgent: urgent}
@@ -341,12 +377,8 @@
 		}
 	case beat:
 		for _, f := range k.flows {
-			for i := range f.usage {
-				if n.span > 0 && f.joined && (f.round[i] > 0 || now-f.at[i] > n.silent) {
-					t, way := since(now, f.at[i], n.span)
-					f.usage[i] += way * (f.round[i]/t - f.usage[i])
-					f.round[i], f.at[i], f.known = 0, now, true
-				}
+			if n.span > 0 && f.joined {
+				f.count(now, n)
 			}
 		}
 		k.due = true
@@ -424,34 +456,44 @@
 
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
 	levels control.LevelKind, proxies, sockets int) *planner {
-	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, waits: 2, pace: 1,
+	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, sets: setsOf(kinds), waits: patience, pace: 1,
 		proxies: proxies, sockets: max(1, sockets), member: map[control.Backend]int{},
 		homes: map[control.Proxy]int{}, moved: map[control.Proxy]int{}, asked: make([]float64, len(zones)),
 		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
-	for k, kind := range kinds {
-		s := slices.IndexFunc(p.sets, func(s kindSet) bool {
-			return slices.Equal(s.only, kind.OnlyZones) && s.own == kind.OwnZone
-		})
-		if s < 0 {
-			s = len(p.sets)
-			p.sets = append(p.sets, kindSet{only: kind.OnlyZones, own: kind.OwnZone})
-		}
-		p.sets[s].mask |= 1 << k
-	}
-	slices.SortStableFunc(p.sets, func(a, b kindSet) int {
-		if a.bound() == b.bound() {
-			return 0
-		} else if a.bound() {
-			return -1
-		}
-		return 1
-	})
 	for _, set := range p.sets {
 		ch.masks = append(ch.masks, set.mask)
 	}
 	return p
 }
 
+func (p *planner) take(_ micros, n note) {
+	switch n := n.(type) {
+	case view:
+		p.views[n.id], p.due, p.urgent = n, true, p.urgent || n.urgent
+	case demand:
+		p.flows, p.all, p.due, p.urgent = n.flows, n.all, true, p.urgent || n.urgent
+	case control.Heard:
+		if z := slices.Index(p.zones, n.Zone); z >= 0 {
+			p.tries[z] += float64(n.Tries)
+			p.errored += float64(n.Errored)
+		}
+	case settled:
+		p.waits = 0
+	case beat:
+		if p.waits--; n.span > 0 {
+			p.round++
+			p.endRound(n)
+		}
+	case heed:
+		// A list saved before a crash may name the dead and the newly started as well: until a newer one
+		// comes, for two beats at most, the proxies keep what they hold.
+		if p.due && p.waits <= 0 && len(p.views) > 0 {
+			p.plan()
+			p.due, p.urgent = false, false
+		}
+	}
+}
+
 // crew is a group of a zone's backends and the proxies bound to it.
 type crew struct {
 	zone, group int     // group p.groups is all of the zone
