Load that other coordinators bring counts, unheard zones are not idle

Cause: a coordinator of one zone took the others for idle, sent there what was full already and let in their share again.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,8 +16,8 @@
 )
 
 // shortest is the least period at which anything is decided; patience the beats that a saved list waits for a
-// newer one.
-const shortest, patience = second / 10, 2
+// newer one; what was heard up to lately ago still holds.
+const shortest, patience, lately = second / 10, 2, 5 * second
 
 // beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
 // heard is no sign of silence unless it is older than all that was heard.
@@ -96,8 +96,7 @@
 		all.sick = b.judgeSeat(now, z, s, end.expect[z], end.errored) || all.sick
 		s.tries, s.errored, s.answer = 0, 0, 0
 	}
-	done := all.tries - all.errored
-	if done > 0 {
+	if done := all.tries - all.errored; done > 0 {
 		b.answer += 0.5 * (all.answer/done - b.answer)
 	}
 	busy, hasBusy := b.loads["busy"]
@@ -107,6 +106,12 @@
 	} else if end.all {
 		rate = recent
 	}
+	if all.tries > 0 {
+		b.heardAt = now
+	}
+	if b.told = told || b.told; hasBusy {
+		b.used += 0.5 * (busy - b.used)
+	}
 	if q, told := b.loads["q"]; told {
 		b.queue = q
 	}
@@ -117,7 +122,7 @@
 		b.speed.add(busy, busy*end.span, rate*end.span, 12)
 	}
 	if all.tries > 0 || end.silent == 0 {
-		b.capacity(all, done, !hasBusy || busy > 0.85)
+		b.capacity(all, !hasBusy || busy > 0.85)
 	}
 	return all.sick
 }
@@ -127,8 +132,9 @@
 // nor a false report of being full drag the levels down; and the limit grows with each report that is not
 // slow and ends above its speed, so that neither a passing slowness nor a cold start leaves a lasting low
 // capacity.
-func (b *backend) capacity(all seat, done float64, busy bool) {
-	if all.tries >= 3 && busy && (all.errored > 0.3*all.tries || all.answer > 0.6*done*float64(b.target)) {
+func (b *backend) capacity(all seat, busy bool) {
+	late := all.answer > 0.6*(all.tries-all.errored)*float64(b.target)
+	if all.tries >= 3 && busy && (all.errored > 0.3*all.tries || late) {
 		if b.slow++; b.slow >= 3 && b.limit == 0 {
 			b.limit = b.served
 		}
@@ -212,7 +218,7 @@
 func (p *planner) fleet() []view {
 	var fleet []view
 	const prior = 2 // busy seconds that the listed weight counts for
-	worked, served, asked, learned, did, meant := 1e-9, 0.0, 0.0, 0.0, 0.0, 0.0
+	worked, served, asked, learned, did, meant, home := 1e-9, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, f := range p.flows {
 		asked += f.total
 	}
@@ -233,10 +239,13 @@
 	for i := range fleet {
 		v := &fleet[i]
 		n, s := v.speed.total()
-
 		v.worth = (s + prior*v.entry.Weight*served/worked) / (n + prior)
 		did, meant = did+v.did, meant+v.worth*v.busy
+		if v.ready && v.zone >= 0 && p.asked[v.zone] > 0 {
+			home += v.worth
+		}
 	}
+	asked /= max(home, 1e-9)
 	p.known = p.known || learned > float64(len(fleet))
 	if p.fresh && meant > 0 {
 		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
@@ -245,7 +254,15 @@
 	strain := max(1, p.use) / (1.01 - min(1, p.erring))
 	for i := range fleet {
 		v := &fleet[i]
-		v.worth *= p.pace
+		if v.worth *= p.pace; p.instances > 1 && v.zone >= 0 && p.asked[v.zone] == 0 {
+			// Where other controllers have the proxies, they load it too: by its busy share if it was heard of
+			// lately, else nearly as at home. What is unheard is not idle.
+			if !v.heard {
+				v.foreign = 0.7 * asked * v.worth
+			} else if !v.told {
+				v.foreign = max(0, v.used*v.worth-v.served)
+			}
+		}
 		v.room = v.worth * v.share
 		if answers := kinds[v.entry.Machine]; v.answer > 0 {
 			// Judged by its answer times against its kind's: one that stalls, or has got more than it can do,
@@ -330,10 +347,8 @@
 	for _, v := range byPod {
 		if v.zone < 0 {
 			continue
-		}
-		if _, has := p.member[v.id]; !has {
-			poor, _ := p.extremes(v.zone, func(c *crew) float64 { return c.worth })
-			p.member[v.id] = poor
+		} else if _, has := p.member[v.id]; !has {
+			p.member[v.id], _ = p.extremes(v.zone, func(c *crew) float64 { return c.worth })
 		}
 		if c := &p.crews[p.member[v.id]]; p.usable(v, v.zone) {
 			c.worth, c.room = c.worth+v.worth, c.room+v.room
@@ -353,8 +368,7 @@
 			}
 			if has = has && !wide; has != placed {
 				continue
-			}
-			if !has {
+			} else if !has {
 				home, _ = p.extremes(f.zone, func(c *crew) float64 { return (c.load + f.total) / max(c.room, 1e-9) })
 			}
 			c := &p.crews[home]
@@ -389,7 +403,7 @@
 // rebind moves a proxy from a zone's fullest group to its emptiest, seldom: only where they differ by much, the
 // zone is no quiet one, and the proxy has not been moved for ten rounds.
 func (p *planner) rebind(z int) {
-	if whole := p.whole(z); p.asked[z] < 0.5*whole.room {
+	if p.asked[z] < 0.5*p.whole(z).room {
 		return
 	}
 	for range 1 + len(p.flows)/50 {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -41,6 +41,7 @@
 		backend     // a copy
 		box         *inbox
 		ready       bool
+		heard       bool // of late
 		zone        int
 		share       float64 // part of its usual work that it may get: cold, or back from trouble
 		sick        []bool  // by zone of the proxies
@@ -118,7 +119,7 @@
 		target += k.ResponseTarget / micros(len(up.Kinds))
 	}
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
-	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, up.Proxies, up.Channel.Sockets)
+	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, up.Instances, up.Proxies, up.Channel.Sockets)
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
@@ -278,13 +279,16 @@
 	seats                []seat
 	loads                control.Loads // as told this round
 	speed                hist          // by busy share: busy seconds and done reqs
-	did, busy            float64       // the last round's reqs a second and busy share, if both are known
-	served, foreign      float64       // reqs a second: done for own proxies, load of other controllers'
-	queue                float64       // reqs waiting, by its own word
-	answer               float64       // mean answer time
-	limit                float64       // reqs a second; 0: no capacity limit
-	slow                 int           // slow reports in a row
-	backAt, wellAt       micros        // when it last came back from trouble, when a probe last went well
+	heardAt              micros
+	used                 float64 // busy share, smoothed
+	told                 bool    // it tells its rate
+	did, busy            float64 // the last round's reqs a second and busy share, if both are known
+	served, foreign      float64 // reqs a second: done for own proxies, load of other controllers'
+	queue                float64 // reqs waiting, by its own word
+	answer               float64 // mean answer time
+	limit                float64 // reqs a second; 0: no capacity limit
+	slow                 int     // slow reports in a row
+	backAt, wellAt       micros  // when it last came back from trouble, when a probe last went well
 }
 
 // seat is what the proxies of one zone see of a backend.
@@ -329,7 +333,7 @@
 
 func (b *backend) tell(now micros, urgent bool) {
 	v := view{backend: *b, box: &b.inbox, zone: slices.Index(b.zones, b.entry.Zone),
-		ready: b.entry.Status == control.Ready, share: b.share(now), urgent: urgent}
+		ready: b.entry.Status == control.Ready, heard: now-b.heardAt < lately, share: b.share(now), urgent: urgent}
 	for _, s := range b.seats {
 		v.sick = append(v.sick, s.sick)
 	}
@@ -421,6 +425,7 @@
 	sets        []kindSet
 	views       map[control.Backend]view
 	flows       []*flow
+	instances   int
 	proxies     int                     // of all controllers
 	sockets     int                     // connections that the smallest backend takes
 	groups      int                     // in a zone; one more stands for all of it
@@ -455,9 +460,9 @@
 func (s kindSet) bound() bool { return s.own || len(s.only) > 0 }
 
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
-	levels control.LevelKind, proxies, sockets int) *planner {
+	levels control.LevelKind, instances, proxies, sockets int) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, sets: setsOf(kinds), waits: patience, pace: 1,
-		proxies: proxies, sockets: max(1, sockets), member: map[control.Backend]int{},
+		instances: instances, proxies: proxies, sockets: max(1, sockets), member: map[control.Backend]int{},
 		homes: map[control.Proxy]int{}, moved: map[control.Proxy]int{}, asked: make([]float64, len(zones)),
 		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
 	for _, set := range p.sets {
