--- a/choice/choice.go
+++ b/choice/choice.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// judge closes a round of reports and tells whether the backend has become sick.
+// judge closes a round of reports and tells whether it has become sick.
 func (b *backend) judge(now micros, end roundEnd) bool {
 	var all seat
 	recent := 0.0 // done reqs a second, newest
@@ -310,10 +310,12 @@
 
 // found divides the zones into groups, the design's server groups: one table for all of a large zone costs
 // lines, standstill and connections at each proxy and backend. There are as many as keep the connections of a
-// backend, with all zones open, to a third of what the smallest takes, but none starts with under five
-// backends. The last group of a zone stands for the whole of it, for proxies that are too large for one.
+// backend, with all zones open, to a ninth of what the smallest takes, but none starts with under three
+// backends. The last group of a zone stands for the whole of it, for the few proxies far above the mean: were it
+// for all that are too large for their group, a shift or repeats would put them all there, at the cost of
+// connections when they are shortest.
 func (p *planner) found(fleet []view) {
-	p.groups = (3*p.proxies + p.sockets - 1) / p.sockets
+	p.groups = (9*p.proxies + p.sockets - 1) / p.sockets
 	for z := range p.zones {
 		n := 0
 		for _, v := range fleet {
@@ -322,7 +324,7 @@
 			}
 		}
 		if n > 0 {
-			p.groups = max(1, min(p.groups, n/5))
+			p.groups = max(1, min(p.groups, n/3))
 		}
 	}
 	for z := range p.zones {
@@ -357,13 +359,14 @@
 	}
 	bySize := slices.Clone(p.flows)
 	slices.SortStableFunc(bySize, func(a, b *flow) int { return cmp.Compare(b.total, a.total) })
+	mean := sum(p.asked) / float64(max(1, len(p.flows)))
 	for _, placed := range []bool{true, false} {
 		for _, f := range bySize {
 			whole := p.whole(f.zone)
 			part := f.total * float64(p.groups) / max(whole.room, 1e-9) // of a group
 			home, has := p.homes[f.proxy]
 			wide := has && p.crews[home].group == p.groups
-			if p.groups > 1 && (part > 0.5 || wide && part > 0.25) {
+			if p.groups > 1 && f.total > 4*mean && (part > 0.5 || wide && part > 0.25) {
 				home, wide, has = (f.zone+1)*(p.groups+1)-1, false, true
 			}
 			if has = has && !wide; has != placed {
@@ -469,8 +472,7 @@
 		}
 	}
 	p.admission(fleet)
-	// A crash forgets how full the fleet is; the levels that proxies still hold stand until that is known
-	// again.
+	// A crash forgets how full the fleet is; levels that proxies still hold stand until that is known again.
 	if p.known || p.letIn > 0 {
 		w.admits = p.deal()
 	}
@@ -566,12 +568,10 @@
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
-			// One that says it is full, falsely or alone, must not drag all levels down: it counts at least
-			// half.
+			// One that says it is full, falsely or alone, must not drag all levels down: half counts at least.
 			c, limited = max(min(v.limit, c), c/2), true
 		}
-		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports'
-		// time.
+		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports.
 		c *= 1 - min(0.5, max(0, v.answer-0.45*float64(v.target))/float64(4*v.period))
 		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
 		load := v.foreign + sum(p.loads[v.id])
