--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,8 +32,8 @@
 	return b
 }
 
-// since is the seconds that a count stands for that comes now, the last one having come at the time given, and
-// how far a mean goes with it to the new value: half way each round.
+// since is the seconds that a count stands for that comes now, the last one having come at the time given,
+// and how far a mean goes with it to the new value: half way each round.
 func since(now, last micros, span float64) (seconds, way float64) {
 	seconds = max(span, float64(now-last)/float64(second))
 	if last == 0 {
@@ -53,8 +53,8 @@
 	}
 }
 
-// again asks for the list once more after a failure. One service answers all coordinators: each time later, and
-// not in step with the others.
+// again asks for the list once more after a failure. One service answers all coordinators: each time later,
+// and not in step with the others.
 func (r *roll) again() {
 	r.fails = min(r.fails+1, 4)
 	after := float64(second) * float64(r.fails) * (0.25 + 0.5*r.chance())
@@ -110,10 +110,7 @@
 		b.heardAt = now
 	}
 	if b.told = told || b.told; hasBusy {
-		b.used += 0.5 * (busy - b.used)
-	}
-	if q, told := b.loads["q"]; told {
-		b.queue = q
+		b.used, b.queue = b.used+0.5*(busy-b.used), b.loads["q"]
 	}
 	b.did, b.busy, b.loads = 0, 0, nil
 	if busy > 0.05 && b.warmth(now) == 1 && (told || end.all) {
@@ -218,10 +215,7 @@
 func (p *planner) fleet() []view {
 	var fleet []view
 	const prior = 2 // busy seconds that the listed weight counts for
-	worked, served, asked, learned, did, meant, home := 1e-9, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
-	for _, f := range p.flows {
-		asked += f.total
-	}
+	worked, served, learned, did, meant, asked, home := 1e-9, 0.0, 0.0, 0.0, 0.0, sum(p.asked), 1e-9
 	kinds := map[control.Machine][]float64{} // mean answer times by machine kind
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		v := p.views[id]
@@ -245,28 +239,28 @@
 			home += v.worth
 		}
 	}
-	asked /= max(home, 1e-9)
 	p.known = p.known || learned > float64(len(fleet))
 	if p.fresh && meant > 0 {
 		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
 	}
 	p.fresh = false
 	strain := max(1, p.use) / (1.01 - min(1, p.erring))
+	p.mean = 0
 	for i := range fleet {
 		v := &fleet[i]
-		if v.worth *= p.pace; p.instances > 1 && v.zone >= 0 && p.asked[v.zone] == 0 {
+		v.worth *= p.pace
+		if p.mean += v.worth / float64(len(fleet)); p.instances > 1 && v.zone >= 0 && p.asked[v.zone] == 0 {
 			// Where other controllers have the proxies, they load it too: by its busy share if it was heard of
 			// lately, else nearly as at home. What is unheard is not idle.
 			if !v.heard {
-				v.foreign = 0.7 * asked * v.worth
+				v.foreign = 0.7 * asked / home * v.worth
 			} else if !v.told {
 				v.foreign = max(0, v.used*v.worth-v.served)
 			}
 		}
 		v.room = v.worth * v.share
 		if answers := kinds[v.entry.Machine]; v.answer > 0 {
-			// Judged by its answer times against its kind's: one that stalls, or has got more than it can do,
-			// gets less long before its speed shows it.
+			// Judged by its answer times against its kind's: one that stalls or is overrun gets less at once.
 			v.room *= min(1, max(0.5, 1.5*sum(answers)/float64(len(answers))/v.answer))
 		}
 		if v.share < 1 {
@@ -302,31 +296,34 @@
 
 // allowed tells whether a set's reqs from a zone's proxies may go to a backend, usable whether they should.
 func (p *planner) allowed(v view, set kindSet, z int) bool {
-	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) &&
-		(len(set.only) == 0 || slices.Contains(set.only, p.zones[v.zone]))
+	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) && set.serves(p.zones[v.zone])
 }
 
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
 // found divides the zones into groups, the design's server groups: one table for all of a large zone costs
-// lines, standstill and connections at each proxy and backend. There are as many as keep the connections of a
-// backend, with all zones open, to a ninth of what the smallest takes, but none starts with under three
-// backends. The last group of a zone stands for the whole of it, for the few proxies far above the mean: were it
-// for all that are too large for their group, a shift or repeats would put them all there, at the cost of
-// connections when they are shortest.
+// lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a
+// backend's connections; else groups are small, the larger the later all pairs have been heard of: what is
+// not known yet must even out within one. The last group of a zone stands for all of it, for the few proxies
+// far above the mean: were it for all too large for their group, a shift or repeats would put them all there,
+// at the cost of connections when they are shortest.
 func (p *planner) found(fleet []view) {
-	p.groups = (9*p.proxies + p.sockets - 1) / p.sockets
-	for z := range p.zones {
-		n := 0
-		for _, v := range fleet {
-			if v.zone == z {
-				n++
-			}
+	pairs := float64(p.proxies*len(p.kinds)/p.instances + len(fleet)/len(p.zones))
+	size, count := max(2, int(math.Ceil(1.5*pairs/p.intake))), make([]int, len(p.zones))
+	for _, v := range fleet {
+		if v.zone >= 0 {
+			count[v.zone]++
 		}
+	}
+	p.groups = len(fleet)
+	for _, n := range count {
 		if n > 0 {
-			p.groups = max(1, min(p.groups, n/3))
+			p.groups = max(1, min(p.groups, n/size))
 		}
 	}
+	if 4*p.proxies < p.sockets {
+		p.groups = 1
+	}
 	for z := range p.zones {
 		for g := range p.groups + 1 {
 			p.crews = append(p.crews, crew{zone: z, group: g, price: 1}) // the paper's start
@@ -334,8 +331,8 @@
 	}
 }
 
-// pack packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod, so that what
-// strikes a pod strikes few of a group.
+// pack packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod, so that
+// what strikes a pod strikes few of a group.
 func (p *planner) pack(fleet []view, round bool) {
 	if p.crews == nil {
 		p.found(fleet)
@@ -353,8 +350,9 @@
 			p.member[v.id], _ = p.extremes(v.zone, func(c *crew) float64 { return c.worth })
 		}
 		if c := &p.crews[p.member[v.id]]; p.usable(v, v.zone) {
-			c.worth, c.room = c.worth+v.worth, c.room+v.room
-			p.whole(v.zone).room += v.room
+			for _, c := range []*crew{c, p.whole(v.zone)} {
+				c.worth, c.room = c.worth+v.worth, c.room+v.room
+			}
 		}
 	}
 	bySize := slices.Clone(p.flows)
@@ -403,8 +401,8 @@
 	}
 }
 
-// rebind moves a proxy from a zone's fullest group to its emptiest, seldom: only where they differ by much, the
-// zone is no quiet one, and the proxy has not been moved for ten rounds.
+// rebind moves a proxy from a zone's fullest group to its emptiest, seldom: only where they differ by much,
+// the zone is no quiet one, and the proxy has not been moved for ten rounds.
 func (p *planner) rebind(z int) {
 	if p.asked[z] < 0.5*p.whole(z).room {
 		return
@@ -446,11 +444,14 @@
 	for _, v := range fleet {
 		p.loads[v.id] = make([]float64, len(p.crews))
 	}
-	openness := p.openness(fleet, p.asked)
+	openness := p.openness(fleet)
 	w.lines = make([][]line, len(p.crews)*len(p.sets))
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
 	for s, set := range p.sets {
 		for i, c := range p.crews {
+			if len(c.flows) == 0 {
+				continue // laid once somebody is bound to it
+			}
 			lines, weight, usage := p.table(fleet, set, c, openness[c.zone], taken), 0.0, 0.0
 			w.lines[i*len(p.sets)+s] = lines
 			for _, l := range lines {
@@ -479,8 +480,7 @@
 	p.channel.put(w)
 }
 
-// setsOf puts the kinds that may go to the same zones together: each set has tables of its own. Those that may
-// not go everywhere come first.
+// setsOf puts kinds that may go to the same zones together: each set has tables of its own, bound ones first.
 func setsOf(kinds []control.KindSettings) (sets []kindSet) {
 	for _, bound := range []bool{true, false} {
 		for k, kind := range kinds {
@@ -500,9 +500,9 @@
 // home, 1 treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the
 // fleet, it opens: proxies are unequal and change faster than orders travel, and what one zone has too much
 // another can take.
-func (p *planner) openness(fleet []view, asked []float64) []float64 {
+func (p *planner) openness(fleet []view) []float64 {
 	const quiet, full = 0.6, 0.9 // use of the fleet at which zones begin to open and are one
-	room, load, open := make([]float64, len(p.zones)), slices.Clone(asked), make([]float64, len(p.zones))
+	room, load, open := make([]float64, len(p.zones)), slices.Clone(p.asked), make([]float64, len(p.zones))
 	for _, v := range fleet {
 		if v.ready && v.zone >= 0 {
 			load[v.zone] += v.foreign
@@ -527,15 +527,11 @@
 // fleet's mean, so that a line changes only when its backend, or the openness, does.
 func (p *planner) table(fleet []view, set kindSet, c crew, openness float64,
 	taken map[control.Backend]float64) []line {
-	mean, home, z := 0.0, false, c.zone
-	for _, v := range fleet {
-		mean += v.worth / float64(len(fleet))
-		home = home || v.zone == z && p.in(v, c) && p.allowed(v, set, z) && p.usable(v, z)
-	}
+	z, home := c.zone, c.worth > 0 && set.serves(p.zones[c.zone])
 	var lines, last []line
 	for _, v := range fleet {
 		if p.allowed(v, set, z) {
-			l := line{v.id, max(0.01, v.room/mean)}
+			l := line{v.id, max(0.01, v.room/p.mean)}
 			if last = append(last, l); !p.in(v, c) {
 				continue
 			}
@@ -560,9 +556,8 @@
 // unsent is safe. everything is a level that turns nothing away.
 const step, everything = 0.05, 1e6
 
-// admission runs the design's price step and F-NORM on each group and publishes the traffic-weighted
-// mean of the groups' levels, only while load is above 90% of the summed capacity and only on moves past the
-// threshold.
+// admission runs the design's price step and F-NORM on each group and publishes the traffic-weighted mean of
+// the groups' levels, only while load is above 90% of the summed capacity, on moves past the threshold.
 func (p *planner) admission(fleet []view) {
 	capacity, limited, letIn := make([]float64, len(p.crews)), false, 0.0
 	for _, v := range fleet {
@@ -591,7 +586,7 @@
 	if (letIn > 0) != (p.letIn > 0) {
 		p.out.log("levels on: %t, %.1f reqs a second asked, %.1f can be done", letIn > 0, total, can)
 	}
-	if letIn == 0 || letIn > (1+step)*p.letIn || letIn < (1-step)*p.letIn {
+	if letIn == 0 || math.Abs(letIn-p.letIn) > step*p.letIn {
 		p.letIn = letIn
 	}
 }
@@ -675,10 +670,9 @@
 	return high
 }
 
-// send brings the proxies nearer to how they should stand, as far as the queue and the messages allow. Lines
-// count as queued until a proxy acknowledges them, whatever the stated pace, so that a channel that runs slow
-// holds back by itself; routine leaves most of each limit to what is urgent, and the last messages are left to
-// proxies that join.
+// send brings the proxies nearer to how they should stand, as far as queue and messages allow. Lines count as
+// queued until acknowledged, whatever the stated pace, so that a channel that runs slow holds back by itself;
+// routine leaves most of each limit to what is urgent, and the last messages are left to proxies that join.
 func (c *channel) send(now micros, w want) {
 	waiting, messages, users := 0.0, 0, map[control.Table][]*stream{} // users by the first of their tables
 	for _, s := range c.streams {
@@ -699,9 +693,11 @@
 		every, lines, most = every/2, c.queueCap*3/4, c.most-2
 	}
 	free := now-c.lastSent >= every && waiting < lines && (c.most == 0 || messages < most)
-	if free {
-		waiting, c.urgent = c.change(now, w, users, waiting, lines)
+	if !free {
+		lines = 0
 	}
+	waiting, left := c.change(now, w, users, waiting, lines)
+	c.urgent = left && (free || c.urgent)
 	marked := false
 	for _, p := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[p]
@@ -731,14 +727,15 @@
 	}
 }
 
-// change sends the lines and levels that differ by enough from those sent. A table goes out whole or not at
-// all, those that lose a line first and with more of the queue: what does not fit, be it that half the fleet
-// changed at once, waits for the next turn. It returns the queue and whether something was left.
+// change sends the lines and levels that differ by enough. A table goes out whole or not at all, those that
+// lose a line first and with more of the queue: what does not fit, be it that half the fleet changed at once,
+// waits. What nobody is bound to costs nothing and is always up to date. It returns the queue and whether
+// something was left.
 func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
 	waiting, most float64) (float64, bool) {
 	left := false
 	for _, a := range w.admits {
-		if waiting+float64(len(c.streams))*(c.head()+1) > 0.9*c.queueCap {
+		if most == 0 || waiting+float64(len(c.streams))*(c.head()+1) > 0.9*c.queueCap {
 			left = true
 		} else if c.admits[a.Kinds] != a {
 			c.admits[a.Kinds] = a
@@ -750,6 +747,9 @@
 	}
 	for _, losing := range []bool{true, false} {
 		for i, lines := range w.lines {
+			if lines == nil {
+				continue
+			}
 			t, wanted, loses := control.Table(i), map[control.Backend]float64{}, false
 			held := c.tables[t]
 			if held == nil {
@@ -772,7 +772,7 @@
 				continue
 			}
 			limit := most
-			if losing {
+			if losing && most > 0 {
 				limit = 0.9 * c.queueCap
 			}
 			if len(streams) > 0 && waiting+float64(len(streams))*(n+c.head()) > limit {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -119,7 +119,8 @@
 		target += k.ResponseTarget / micros(len(up.Kinds))
 	}
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
-	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, up.Instances, up.Proxies, up.Channel.Sockets)
+	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, max(1, up.Instances), up.Proxies, up.Channel.Sockets,
+		max(1, up.Reports.Intake))
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
@@ -426,6 +427,8 @@
 	views       map[control.Backend]view
 	flows       []*flow
 	instances   int
+	intake      float64                 // report lines a second
+	mean        float64                 // a backend\'s worth
 	proxies     int                     // of all controllers
 	sockets     int                     // connections that the smallest backend takes
 	groups      int                     // in a zone; one more stands for all of it
@@ -456,13 +459,16 @@
 	own  bool
 }
 
+// serves tells whether the kinds may go to a zone.
+func (s kindSet) serves(z control.Zone) bool { return len(s.only) == 0 || slices.Contains(s.only, z) }
+
 // bound tells whether the kinds may not go everywhere.
 func (s kindSet) bound() bool { return s.own || len(s.only) > 0 }
 
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
-	levels control.LevelKind, instances, proxies, sockets int) *planner {
+	levels control.LevelKind, instances, proxies, sockets int, intake float64) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, sets: setsOf(kinds), waits: patience, pace: 1,
-		instances: instances, proxies: proxies, sockets: max(1, sockets), member: map[control.Backend]int{},
+		instances: instances, proxies: proxies, sockets: sockets, intake: intake, member: map[control.Backend]int{},
 		homes: map[control.Proxy]int{}, moved: map[control.Proxy]int{}, asked: make([]float64, len(zones)),
 		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
 	for _, set := range p.sets {
