--- a/choice/choice.go
+++ b/choice/choice.go
@@ -364,7 +364,7 @@
 			part := f.total * float64(p.groups) / max(whole.room, 1e-9) // of a group
 			home, has := p.homes[f.proxy]
 			wide := has && p.crews[home].group == p.groups
-			if p.groups > 1 && f.total > 4*mean && (part > 0.5 || wide && part > 0.25) {
+			if p.groups > 1 && (f.total > 4*mean && part > 0.5 || wide && f.total > 2*mean && part > 0.25) {
 				home, wide, has = (f.zone+1)*(p.groups+1)-1, false, true
 			}
 			if has = has && !wide; has != placed {
@@ -402,26 +402,23 @@
 }
 
 // rebind moves a proxy from a zone's fullest group to its emptiest, seldom: only where they differ by much,
-// the zone is no quiet one, and the proxy has not been moved for ten rounds.
+// the full one is no quiet one, and the proxy has not been moved for 15 seconds.
 func (p *planner) rebind(z int) {
-	if p.asked[z] < 0.5*p.whole(z).room {
-		return
-	}
 	for range 1 + len(p.flows)/50 {
 		empty, full := p.extremes(z, func(c *crew) float64 { return c.load / max(c.room, 1e-9) })
 		cool, hot, best := &p.crews[empty], &p.crews[full], -1
 		gap := (hot.load*cool.room - cool.load*hot.room) / max(hot.room+cool.room, 1e-9)
 		for i, f := range hot.flows {
-			if f.total < 1.5*gap && p.round-p.moved[f.proxy] >= 10 &&
+			if f.total < 1.5*gap && p.clock-p.moved[f.proxy] >= 15 &&
 				(best < 0 || math.Abs(f.total-gap) < math.Abs(hot.flows[best].total-gap)) {
 				best = i
 			}
 		}
-		if best < 0 || hot.load*cool.room < 1.25*cool.load*hot.room {
+		if best < 0 || hot.load < 0.7*hot.room || hot.load*cool.room < 1.25*cool.load*hot.room {
 			return
 		}
 		f := hot.flows[best]
-		p.homes[f.proxy], p.moved[f.proxy], cool.flows = empty, p.round, append(cool.flows, f)
+		p.homes[f.proxy], p.moved[f.proxy], cool.flows = empty, p.clock, append(cool.flows, f)
 		hot.load, cool.load, hot.flows = hot.load-f.total, cool.load+f.total, slices.Delete(hot.flows, best, best+1)
 	}
 }
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -427,16 +427,16 @@
 	views       map[control.Backend]view
 	flows       []*flow
 	instances   int
-	intake      float64                 // report lines a second
-	mean        float64                 // a backend\'s worth
-	proxies     int                     // of all controllers
-	sockets     int                     // connections that the smallest backend takes
-	groups      int                     // in a zone; one more stands for all of it
-	crews       []crew                  // the groups, by zone
-	member      map[control.Backend]int // its crew
-	homes       map[control.Proxy]int   // its crew
-	moved       map[control.Proxy]int   // round in which it was last moved
-	round       int
+	intake      float64                       // report lines a second
+	mean        float64                       // a backend\'s worth
+	proxies     int                           // of all controllers
+	sockets     int                           // connections that the smallest backend takes
+	groups      int                           // in a zone; one more stands for all of it
+	crews       []crew                        // the groups, by zone
+	member      map[control.Backend]int       // its crew
+	homes       map[control.Proxy]int         // its crew
+	moved       map[control.Proxy]float64     // when it was last moved
+	clock       float64                       // seconds of rounds with reports, from 100 on: nobody has been moved yet
 	asked       []float64                     // reqs a second, by zone of the proxies
 	loads       map[control.Backend][]float64 // reqs a second it should get, by crew
 	tries       []float64                     // heard this round, by zone of the proxies
@@ -469,7 +469,7 @@
 	levels control.LevelKind, instances, proxies, sockets int, intake float64) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, sets: setsOf(kinds), waits: patience, pace: 1,
 		instances: instances, proxies: proxies, sockets: sockets, intake: intake, member: map[control.Backend]int{},
-		homes: map[control.Proxy]int{}, moved: map[control.Proxy]int{}, asked: make([]float64, len(zones)),
+		homes: map[control.Proxy]int{}, moved: map[control.Proxy]float64{}, clock: 100, asked: make([]float64, len(zones)),
 		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
 	for _, set := range p.sets {
 		ch.masks = append(ch.masks, set.mask)
@@ -492,7 +492,7 @@
 		p.waits = 0
 	case beat:
 		if p.waits--; n.span > 0 {
-			p.round++
+			p.clock += n.span
 			p.endRound(n)
 		}
 	case heed:
