--- a/choice/choice.go
+++ b/choice/choice.go
@@ -414,7 +414,7 @@
 				best = i
 			}
 		}
-		if best < 0 || hot.load < 0.7*hot.room || hot.load*cool.room < 1.25*cool.load*hot.room {
+		if best < 0 || hot.load < 0.9*hot.room || hot.load*cool.room < 1.25*cool.load*hot.room {
 			return
 		}
 		f := hot.flows[best]
