--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,7 +45,9 @@
 // count takes a round's reqs into what is known of a proxy's usage.
 func (f *flow) count(now micros, b beat) {
 	for i := range f.usage {
-		if f.round[i] > 0 || now-f.at[i] > b.silent {
+		if !f.joined {
+			f.usage[i] *= 0.97 // forgotten if it stays away
+		} else if f.round[i] > 0 || now-f.at[i] > b.silent {
 			t, way := since(now, f.at[i], b.span)
 			f.usage[i] += way * (f.round[i]/t - f.usage[i])
 			f.round[i], f.at[i], f.known = 0, now, true
@@ -53,6 +55,10 @@
 	}
 }
 
+// all tells whether what is heard is about all there is, by the usage of the proxies that are joined and of
+// those that are away. With hundreds of proxies one is always away.
+func all(here, away float64) bool { return away <= 0.05*here }
+
 // again asks for the list once more after a failure. One service answers all coordinators: each time later,
 // and not in step with the others.
 func (r *roll) again() {
@@ -76,23 +82,20 @@
 // judge closes a round of reports and tells whether it has become sick.
 func (b *backend) judge(now micros, end roundEnd) bool {
 	var all seat
-	recent := 0.0 // done reqs a second, newest
+
+	newest := 0.0 // done reqs a second
 	b.served = 0
 	for z := range b.seats {
 		s := &b.seats[z]
-		all.tries += s.tries
-		all.errored += s.errored
-		all.answer += s.answer
+		all.tries, all.errored, all.answer = all.tries+s.tries, all.errored+s.errored, all.answer+s.answer
 		if s.tries > 0 || now-s.at > end.silent {
 			t, way := since(now, s.at, end.span)
-			recent += (s.tries - s.errored) / t
-			s.served += way * ((s.tries-s.errored)/t - s.served)
-			s.at = now
+			s.newest, s.at = (s.tries-s.errored)/t, now
+			s.served += way * (s.newest - s.served)
 		} else {
-			recent += s.served
-			end.expect[z] = 0
+			s.newest, end.expect[z] = s.served, 0
 		}
-		b.served += s.served
+		b.served, newest = b.served+s.served, newest+s.newest
 		all.sick = b.judgeSeat(now, z, s, end.expect[z], end.errored) || all.sick
 		s.tries, s.errored, s.answer = 0, 0, 0
 	}
@@ -104,22 +107,23 @@
 	if told {
 		b.foreign = max(0, rate-b.served)
 	} else if end.all {
-		rate = recent
+		rate = newest
 	}
+	t, _ := since(now, b.heardAt, end.span)
 	if all.tries > 0 {
-		b.heardAt = now
+		b.heardAt, b.told = now, told
 	}
-	if b.told = told || b.told; hasBusy {
-		b.used, b.queue = b.used+0.5*(busy-b.used), b.loads["q"]
+	if hasBusy {
+		b.used, b.queue = busy, b.loads["q"]
 	}
 	b.did, b.busy, b.loads = 0, 0, nil
 	if busy > 0.05 && b.warmth(now) == 1 && (told || end.all) {
 		// Learned only warm and while all its load is known: else it would pass for slow for long.
 		b.did, b.busy = rate, busy
-		b.speed.add(busy, busy*end.span, rate*end.span, 12)
+		b.speed.add(busy, busy*t, rate*t, 12)
 	}
 	if all.tries > 0 || end.silent == 0 {
-		b.capacity(all, !hasBusy || busy > 0.85)
+		b.capacity(all, t/end.span, !hasBusy || busy > 0.85)
 	}
 	return all.sick
 }
@@ -129,20 +133,19 @@
 // nor a false report of being full drag the levels down; and the limit grows with each report that is not
 // slow and ends above its speed, so that neither a passing slowness nor a cold start leaves a lasting low
 // capacity.
-func (b *backend) capacity(all seat, busy bool) {
+func (b *backend) capacity(all seat, rounds float64, busy bool) {
 	late := all.answer > 0.6*(all.tries-all.errored)*float64(b.target)
 	if all.tries >= 3 && busy && (all.errored > 0.3*all.tries || late) {
 		if b.slow++; b.slow >= 3 && b.limit == 0 {
 			b.limit = b.served
 		}
 	} else {
-		b.slow, b.limit = 0, 1.05*b.limit
-	}
-	if b.limit > 0 {
-		b.limit = max(b.limit, b.served)
+		b.slow, b.limit = 0, math.Pow(1.05, rounds)*b.limit
 	}
 	if worked, served := b.speed.total(); b.limit > 1.3*served/max(worked, 1) {
 		b.limit = 0
+	} else if b.limit > 0 {
+		b.limit = max(b.limit, b.served)
 	}
 }
 
@@ -215,7 +218,7 @@
 func (p *planner) fleet() []view {
 	var fleet []view
 	const prior = 2 // busy seconds that the listed weight counts for
-	worked, served, learned, did, meant, asked, home := 1e-9, 0.0, 0.0, 0.0, 0.0, sum(p.asked), 1e-9
+	worked, served, learned, near, did, meant, asked, home := 1e-9, 0.0, 0.0, 0.0, 0.0, 0.0, sum(p.asked), 1e-9
 	kinds := map[control.Machine][]float64{} // mean answer times by machine kind
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		v := p.views[id]
@@ -224,22 +227,24 @@
 		if v.answer > 0 {
 			kinds[v.entry.Machine] = append(kinds[v.entry.Machine], v.answer)
 		}
-		n, s := v.speed.total()
-		learned += n
-		// a fleet of which nothing is known is taken to be used by two thirds
-		worked += (n + 0.3) * v.entry.Weight
-		served += s + 0.3*1.5*max(asked, 1)/float64(len(p.views))
+		if n, s := v.speed.total(); p.home(v) {
+			// a fleet of which nothing is known is taken to be used by two thirds
+			learned, near = learned+n, near+1
+			worked += (n + 0.3) * v.entry.Weight
+			served += s
+		}
 	}
+	served += 0.3 * 1.5 * max(asked, 1)
 	for i := range fleet {
 		v := &fleet[i]
 		n, s := v.speed.total()
 		v.worth = (s + prior*v.entry.Weight*served/worked) / (n + prior)
 		did, meant = did+v.did, meant+v.worth*v.busy
-		if v.ready && v.zone >= 0 && p.asked[v.zone] > 0 {
+		if v.ready && p.home(*v) {
 			home += v.worth
 		}
 	}
-	p.known = p.known || learned > float64(len(fleet))
+	p.known = p.known || learned > max(1, near)
 	if p.fresh && meant > 0 {
 		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
 	}
@@ -249,11 +254,12 @@
 	for i := range fleet {
 		v := &fleet[i]
 		v.worth *= p.pace
-		if p.mean += v.worth / float64(len(fleet)); p.instances > 1 && v.zone >= 0 && p.asked[v.zone] == 0 {
+		if p.mean += v.worth / float64(len(fleet)); !p.home(*v) {
 			// Where other controllers have the proxies, they load it too: by its busy share if it was heard of
 			// lately, else nearly as at home. What is unheard is not idle.
 			if !v.heard {
-				v.foreign = 0.7 * asked / home * v.worth
+				v.served, v.used = 0, min(1, 0.7*asked/home)
+				v.foreign = v.used * v.worth
 			} else if !v.told {
 				v.foreign = max(0, v.used*v.worth-v.served)
 			}
@@ -299,6 +305,9 @@
 	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) && set.serves(p.zones[v.zone])
 }
 
+// home tells whether a backend is in a zone whose proxies are, in part at least, this controller's own.
+func (p *planner) home(v view) bool { return p.instances == 1 || v.zone >= 0 && p.asked[v.zone] > 0 }
+
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
 // found divides the zones into groups, the design's server groups: one table for all of a large zone costs
@@ -511,7 +520,7 @@
 	p.use = sum(load) / max(sum(room), 1e-9)
 	for z := range p.zones {
 		open[z] = min(1, max(0, (p.use-quiet)/(full-quiet)))
-		// at least as much as leaves the zone used no more than the fleet, or than a quiet one
+		// and enough to leave the zone used no more than the fleet, or than a quiet one
 		keep := max(quiet, p.use) * room[z] / max(load[z], 1e-9)
 		if rest := sum(room) - room[z]; keep < 1 && rest > 0 {
 			open[z] = max(open[z], min(2, room[z]*(1/max(keep, 1e-3)-1)/rest))
@@ -566,9 +575,14 @@
 		// Late answers tell of a queue: let in less than can be done until it has drained, in four reports.
 		c *= 1 - min(0.5, max(0, v.answer-0.45*float64(v.target))/float64(4*v.period))
 		c = max(c/2, c-v.queue*float64(second)/float64(4*v.period))
-		load := v.foreign + sum(p.loads[v.id])
-		for i, part := range p.loads[v.id] { // several controllers: their proxies' share
-			capacity[i] += (1 - step) * c * part / max(load, 1e-9)
+		own := sum(p.loads[v.id])
+		c *= own / max(v.foreign+own, 1e-9) // several controllers: their proxies' share
+		if !p.home(v) {
+			// Its busy share never tells of more than full: ours is what it did for us and what it has to spare.
+			c = min(c, v.served+max(0, 1-v.used)*v.room)
+		}
+		for i, part := range p.loads[v.id] {
+			capacity[i] += (1 - step) * c * part / max(own, 1e-9)
 		}
 	}
 	total, can := sum(p.asked), sum(capacity)
@@ -699,10 +713,7 @@
 	for _, p := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[p]
 		home, has := w.homes[p]
-		cost := 0.0
-		for i := range c.masks {
-			cost += float64(len(c.tables[home+control.Table(i)])+len(c.admits)) + 2
-		}
+		cost := c.whole(home)
 		// One that joins is bound as soon as the queue has drained enough, one that moves when routine may.
 		if room := waiting+c.head()+cost < 0.8*c.queueCap; has && s.home != home && room && (s.home < 0 || free) {
 			if s.cost == 0 {
@@ -742,7 +753,7 @@
 			}
 		}
 	}
-	for _, losing := range []bool{true, false} {
+	for pass, limit := range []float64{min(0.9*c.queueCap, 1e9*most), most} { // nothing where most is 0
 		for i, lines := range w.lines {
 			if lines == nil {
 				continue
@@ -765,13 +776,9 @@
 				}
 			}
 			streams, n := users[t-t%control.Table(len(c.masks))], float64(len(wanted))
-			if loses != losing || n == 0 {
+			if loses != (pass == 0) || n == 0 {
 				continue
 			}
-			limit := most
-			if losing && most > 0 {
-				limit = 0.9 * c.queueCap
-			}
 			if len(streams) > 0 && waiting+float64(len(streams))*(n+c.head()) > limit {
 				left = true
 				continue
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -295,7 +295,7 @@
 // seat is what the proxies of one zone see of a backend.
 type seat struct {
 	tries, errored, answer float64 // this round
-	served                 float64 // reqs a second done
+	served, newest         float64 // reqs a second done, and in the newest report
 	at                     micros  // until when they are counted
 	against                float64 // tries, or tries missed, since one was done
 	sick                   bool
@@ -382,7 +382,7 @@
 		}
 	case beat:
 		for _, f := range k.flows {
-			if n.span > 0 && f.joined {
+			if n.span > 0 {
 				f.count(now, n)
 			}
 		}
@@ -395,15 +395,17 @@
 }
 
 func (k *book) tell() {
-	d := demand{all: true, urgent: k.urgent}
+	d, here, away := demand{urgent: k.urgent}, 0.0, 0.0
 	k.due, k.urgent = false, false
 	for _, id := range slices.Sorted(maps.Keys(k.flows)) {
 		f := *k.flows[id] // a copy
-		if d.all = d.all && f.joined; f.joined && f.zone >= 0 {
-			f.usage, f.total = slices.Clone(f.usage), sum(f.usage)
+		if f.usage, f.total = slices.Clone(f.usage), sum(f.usage); !f.joined {
+			away += f.total
+		} else if here += f.total; f.zone >= 0 {
 			d.flows = append(d.flows, &f)
 		}
 	}
+	d.all = all(here, away)
 	k.planner.put(d)
 }
 
@@ -592,6 +594,14 @@
 // head is what a message costs besides its own lines; the levels go with each.
 func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
 
+// whole is what it costs to bind a proxy to the tables from home on.
+func (c *channel) whole(home control.Table) (cost float64) {
+	for i := range c.masks {
+		cost += float64(len(c.tables[home+control.Table(i)])+len(c.admits)) + 2
+	}
+	return cost
+}
+
 // charge counts lines for proxies and returns what they add to the queue.
 func (c *channel) charge(now micros, streams []*stream, lines float64) (cost float64) {
 	for _, s := range streams {
