--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,8 +59,7 @@
 // those that are away. With hundreds of proxies one is always away.
 func all(here, away float64) bool { return away <= 0.05*here }
 
-// again asks for the list once more after a failure. One service answers all coordinators: each time later,
-// and not in step with the others.
+// again asks for the list after a failure, each time later, and not in step with other coordinators.
 func (r *roll) again() {
 	r.fails = min(r.fails+1, 4)
 	after := float64(second) * float64(r.fails) * (0.25 + 0.5*r.chance())
@@ -79,7 +78,7 @@
 	}
 }
 
-// judge closes a round of reports and tells whether it has become sick.
+// judge closes a round and tells whether the backend has become sick.
 func (b *backend) judge(now micros, end roundEnd) bool {
 	var all seat
 
@@ -149,10 +148,9 @@
 	}
 }
 
-// judgeSeat finds a backend that answers a zone's proxies nothing at all, be it by errors or by silence where
-// its lines should have brought tries. One that is merely full still answers some and stays: taking full
-// backends out pushes the others over. It is tried again later and later; where probes are allowed, once one
-// went well.
+// judgeSeat finds a backend that answers a zone's proxies nothing at all, by errors or by silence where its
+// lines should have brought tries. One that is merely full answers some and stays: without it the others are
+// pushed over. It is tried again later and later; where probes are allowed, once one went well.
 func (b *backend) judgeSeat(now micros, z int, s *seat, expect, fleet float64) bool {
 	switch {
 	case b.entry.Status != control.Ready || s.sick && now < s.retryAt:
@@ -185,9 +183,8 @@
 	return b.coldFrom + (1-b.coldFrom)*max(0, float64(now-b.entry.Launched)/float64(b.cold))
 }
 
-// share is the part of its usual work that it may get now. One that is back from trouble may be a new process
-// of which the list has not told yet: it is eased in from twice a cold one's part, within the seconds that
-// the list may take.
+// share is the part of its usual work that it may get now. One back from trouble may be a new process that
+// the list has not told of yet: it is eased in from twice a cold one's part, in the seconds the list may take.
 func (b *backend) share(now micros) float64 {
 	if b.backAt == 0 {
 		return b.warmth(now)
@@ -305,17 +302,23 @@
 	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) && set.serves(p.zones[v.zone])
 }
 
+// in tells whether a backend is in a crew, or of the same number in another zone, or of one in the zone that
+// nobody is bound to: it would stand idle.
+func (p *planner) in(v view, c crew) bool {
+	home := p.crews[p.member[v.id]]
+	return c.group == p.groups || home.group == c.group || len(home.flows) == 0 && v.zone == c.zone
+}
+
 // home tells whether a backend is in a zone whose proxies are, in part at least, this controller's own.
 func (p *planner) home(v view) bool { return p.instances == 1 || v.zone >= 0 && p.asked[v.zone] > 0 }
 
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
 // found divides the zones into groups, the design's server groups: one table for all of a large zone costs
-// lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a
-// backend's connections; else groups are small, the larger the later all pairs have been heard of: what is
-// not known yet must even out within one. The last group of a zone stands for all of it, for the few proxies
-// far above the mean: were it for all too large for their group, a shift or repeats would put them all there,
-// at the cost of connections when they are shortest.
+// lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a backend's
+// connections; else groups are small, the larger the later all pairs are heard of: what is not known yet must
+// even out within one. A zone's last group stands for all of it, for the few proxies far above the mean: for
+// all that are too large, a shift or repeats would put them all there when connections are shortest.
 func (p *planner) found(fleet []view) {
 	pairs := float64(p.proxies*len(p.kinds)/p.instances + len(fleet)/len(p.zones))
 	size, count := max(2, int(math.Ceil(1.5*pairs/p.intake))), make([]int, len(p.zones))
@@ -346,9 +349,8 @@
 	if p.crews == nil {
 		p.found(fleet)
 	}
-	for i := range p.crews {
-		c := &p.crews[i]
-		c.worth, c.room, c.load, c.flows = 0, 0, 0, nil
+	for i, c := range p.crews {
+		p.crews[i] = crew{zone: c.zone, group: c.group, price: c.price}
 	}
 	byPod := slices.Clone(fleet)
 	slices.SortStableFunc(byPod, func(a, b view) int { return cmp.Compare(a.entry.Pod, b.entry.Pod) })
@@ -393,8 +395,8 @@
 	}
 }
 
-// even moves backends from a zone's group that is worth the most to the one that is worth the least when
-// drains or failures have left them unequal.
+// even moves backends from a zone's group of the most worth to the one of the least when drains or failures
+// have left them unequal.
 func (p *planner) even(fleet []view, z int) {
 	for range 3 {
 		poor, rich := p.extremes(z, func(c *crew) float64 { return c.worth })
@@ -502,10 +504,9 @@
 	return sets
 }
 
-// openness is, by zone, how much weight a backend elsewhere gets beside one at home: 0 keeps all tries at
-// home, 1 treats the fleet as one. A quiet zone stays at home. As the fleet fills up, or the zone above the
-// fleet, it opens: proxies are unequal and change faster than orders travel, and what one zone has too much
-// another can take.
+// openness is, by zone, how much weight a backend elsewhere gets beside one at home: 0 keeps all at home, 1
+// treats the fleet as one. A quiet zone stays at home; as the fleet fills up, or the zone above the fleet, it
+// opens: proxies change faster than orders travel, and what one zone has too much another can take.
 func (p *planner) openness(fleet []view) []float64 {
 	const quiet, full = 0.6, 0.9 // use of the fleet at which zones begin to open and are one
 	room, load, open := make([]float64, len(p.zones)), slices.Clone(p.asked), make([]float64, len(p.zones))
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -519,12 +519,6 @@
 // whole is the crew of all of a zone.
 func (p *planner) whole(z int) *crew { return &p.crews[(z+1)*(p.groups+1)-1] }
 
-// in tells whether a backend is in a crew, or of the group of the same number in another zone.
-func (p *planner) in(v view, c crew) bool {
-	home, has := p.member[v.id]
-	return c.group == p.groups || has && p.crews[home].group == c.group
-}
-
 // extremes finds the crews of a zone, but for the whole, of which something is the least and the most.
 func (p *planner) extremes(z int, of func(c *crew) float64) (least, most int) {
 	first := z * (p.groups + 1)
