What levels turn away does not count as strain

Cause: repeats of refused reqs made the fleet look strained, so backends that had just started got nothing while levels held the load to what fits.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,8 +16,9 @@
 )
 
 // shortest is the least period at which anything is decided; patience the beats that a saved list waits for a
-// newer one; what was heard up to lately ago still holds.
-const shortest, patience, lately = second / 10, 2, 5 * second
+// newer one; what was heard up to lately ago still holds; a part of the usage up to few may be away, as with
+// hundreds of proxies some always are, and what is heard still be all there is.
+const shortest, patience, lately, few = second / 10, 2, 5 * second, 0.05
 
 // beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
 // heard is no sign of silence unless it is older than all that was heard.
@@ -55,10 +56,6 @@
 	}
 }
 
-// all tells whether what is heard is about all there is, by the usage of the proxies that are joined and of
-// those that are away. With hundreds of proxies one is always away.
-func all(here, away float64) bool { return away <= 0.05*here }
-
 // again asks for the list after a failure, each time later, and not in step with other coordinators.
 func (r *roll) again() {
 	r.fails = min(r.fails+1, 4)
@@ -246,7 +243,7 @@
 		p.pace += 0.5 * (min(1.5, max(0.4, did/meant)) - p.pace)
 	}
 	p.fresh = false
-	strain := max(1, p.use) / (1.01 - min(1, p.erring))
+	strain := max(1, p.strain) / (1.01 - min(1, p.erring))
 	p.mean = 0
 	for i := range fleet {
 		v := &fleet[i]
@@ -519,6 +516,9 @@
 		}
 	}
 	p.use = sum(load) / max(sum(room), 1e-9)
+	if p.strain = p.use; p.letIn > 0 { // what is turned away strains nobody, and comes again and again
+		p.strain *= min(1, (sum(load)-sum(p.asked)+p.letIn)/max(sum(load), 1e-9))
+	}
 	for z := range p.zones {
 		open[z] = min(1, max(0, (p.use-quiet)/(full-quiet)))
 		// and enough to leave the zone used no more than the fleet, or than a quiet one
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -405,7 +405,7 @@
 			d.flows = append(d.flows, &f)
 		}
 	}
-	d.all = all(here, away)
+	d.all = away <= few*here
 	k.planner.put(d)
 }
 
@@ -445,6 +445,7 @@
 	blind       []bool                        // by zone: sick marks are passed over
 	errored     float64                       // tries of this round
 	pace        float64                       // what the fleet does now against the speeds learned one by one
+	strain      float64                       // use without what levels turn away
 	use, erring float64                       // the fleet's load over its room, the part of its tries that err
 	letIn       float64                       // published: reqs a second in all; 0: open
 	waits       int                           // beats to wait for a list newer than the saved one
