--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,9 +15,8 @@
 	"porthub/control"
 )
 
-// shortest is the least period at which anything is decided; patience the beats that a saved list waits for a
-// newer one; what was heard up to lately ago still holds; a part of the usage up to few may be away, as with
-// hundreds of proxies some always are, and what is heard still be all there is.
+// The least period, the beats that a saved list waits for a newer one, how long what was heard still holds,
+// and the part of the usage that may be away while what is heard is all there is: of hundreds some always are.
 const shortest, patience, lately, few = second / 10, 2, 5 * second, 0.05
 
 // beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
@@ -181,7 +180,7 @@
 }
 
 // share is the part of its usual work that it may get now. One back from trouble may be a new process that
-// the list has not told of yet: it is eased in from twice a cold one's part, in the seconds the list may take.
+// the list has not told of yet: it is eased in from twice a cold one's part, while the list may still come.
 func (b *backend) share(now micros) float64 {
 	if b.backAt == 0 {
 		return b.warmth(now)
