--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,7 @@
 )
 
 // The least period, the beats that a saved list waits for a newer one, how long what was heard still holds,
-// and the part of the usage that may be away while what is heard is all there is: of hundreds some always are.
+// and the part of the usage that may be away while what is heard is all there is: of hundreds some are.
 const shortest, patience, lately, few = second / 10, 2, 5 * second, 0.05
 
 // beat closes a round of reports. They are capped, the oldest first: where as many came as may, what was not
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -382,3 +382,73 @@
 		t.Errorf("lines of zone a %v, of zone b %v", h.tables[h.binds[0][0]], h.tables[h.binds[1][0]])
 	}
 }
+
+// A large fleet is packed: a proxy's table has a few lines of its zone, groups carry alike, and however many join at
+// once, with no word of any message applied, the queue stays under its limit.
+func TestLargeFleetIsPacked(t *testing.T) {
+	for _, deaf := range []bool{true, false} {
+		h := start(t, func(up *control.Up) { up.Proxies, up.Channel.Sockets, up.Rules.QueueCap = 120, 200, 600 })
+		var events []control.Event
+		for i := range 120 {
+			zone := control.Zone("abc"[i%3 : i%3+1])
+			if i < 36 {
+				id := control.Backend(zone) + control.Backend(rune('A'+i))
+				events = append(events, control.List{Entries: ready(zone, id)})
+			}
+			events = append(events, control.Joined{Proxy: control.Proxy(i), Zone: zone, Weight: 2})
+		}
+		h.deaf = deaf
+		h.tell(events...)
+		h.pass(9*second, nil)
+		if h.queued > 600 || (len(h.binds) < 120) != deaf {
+			t.Errorf("deaf %t: %d of 120 proxies bound, %.0f lines queued", deaf, len(h.binds), h.queued)
+		}
+		for p, tables := range h.binds {
+			if n := len(h.tables[tables[0]]); n < 2 || n > 6 {
+				t.Errorf("proxy %d has %d lines", p, n)
+			}
+		}
+	}
+}
+
+// Reports are capped: a backend that was not heard of is not silent while older lines still come, and is once they
+// are through.
+func TestUnheardIsNotSilent(t *testing.T) {
+	for _, intake := range []float64{8, 200} {
+		h := start(t, func(up *control.Up) { up.Reports.Intake = intake })
+		h.fleet()
+		h.pass(5*second, h.steady(20, 0.4, 200_000))
+		say := h.steady(20, 0.4, 200_000, "a1")
+		h.pass(5*second, func() []control.Event {
+			events := say()
+			for i, ev := range events {
+				if heard, is := ev.(control.Heard); is {
+					heard.Period = 9 * second
+					events[i] = heard
+				}
+			}
+			return events
+		})
+		if _, has := h.tables[h.binds[0][0]]["a1"]; has != (intake < 20) {
+			t.Errorf("with %.0f lines a second at most, the unheard backend has a line: %t", intake, has)
+		}
+	}
+}
+
+// Where gone does not bind, a list that calls a serving backend gone takes no line from it; where it binds, it does.
+func TestListCallsServingBackendGone(t *testing.T) {
+	for _, soft := range []bool{true, false} {
+		h := start(t, func(up *control.Up) { up.Rules.SoftRemoval = soft })
+		h.fleet()
+		h.pass(5*second, h.steady(20, 0.4, 200_000))
+		h.tell(control.List{How: control.ListFull, Entries: ready("a", "a2")})
+		h.pass(5*second, h.steady(20, 0.4, 200_000))
+		if w := h.tables[h.binds[0][0]]["a1"]; (w > 0) != soft {
+			t.Errorf("gone alone binds: %t, weight %.2f", !soft, w)
+		}
+		h.pass(20*second, h.steady(20, 0.4, 200_000, "a1"))
+		if w := h.tables[h.binds[0][0]]["a1"]; w > 0 {
+			t.Errorf("it is truly gone and has weight %.2f", w)
+		}
+	}
+}
