Groups short of room borrow from their zone; empty groups lend no more

Now a group left with far less room for its load than its zone borrows the zone's lines, which also guards a cold backend that is alone in its group.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -298,11 +298,11 @@
 	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) && set.serves(p.zones[v.zone])
 }
 
-// in tells whether a backend is in a crew, or of the same number in another zone, or of one in the zone that
-// nobody is bound to: it would stand idle.
+// in tells whether a backend is in a crew, or of the same number in another zone. A group left with far less
+// room for its load than its zone has, all dead or cold but one, borrows from the zone: that one would fall.
 func (p *planner) in(v view, c crew) bool {
-	home := p.crews[p.member[v.id]]
-	return c.group == p.groups || home.group == c.group || len(home.flows) == 0 && v.zone == c.zone
+	short := c.room*p.asked[c.zone] < 0.5*c.load*p.whole(c.zone).room
+	return c.group == p.groups || p.crews[p.member[v.id]].group == c.group || short && v.zone == c.zone
 }
 
 // home tells whether a backend is in a zone whose proxies are, in part at least, this controller's own.
