Groups are made anew when the list has more than doubled

A coordinator that starts while the list calls most backends gone would otherwise keep whole-zone groups for good. Guards against any short first list; a true doubling of the fleet rebinds all proxies once, paced by the queue.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,8 +35,7 @@
 // since is the seconds that a count stands for that comes now, the last one having come at the time given,
 // and how far a mean goes with it to the new value: half way each round.
 func since(now, last micros, span float64) (seconds, way float64) {
-	seconds = max(span, float64(now-last)/float64(second))
-	if last == 0 {
+	if seconds = max(span, float64(now-last)/float64(second)); last == 0 {
 		seconds = span
 	}
 	return seconds, 1 - math.Pow(0.5, seconds/span)
@@ -312,9 +311,10 @@
 
 // found divides the zones into groups, the design's server groups: one table for all of a large zone costs
 // lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a backend's
-// connections; else groups are small, the larger the later all pairs are heard of: what is not known yet must
-// even out within one. A zone's last group stands for all of it, for the few proxies far above the mean: for
-// all that are too large, a shift or repeats would put them all there when connections are shortest.
+// connections; else groups are small, the larger the later all pairs are heard of: what is unknown must even
+// out within one. A zone's last group stands for all of it, for the few proxies far above the mean: for all
+// that are too large, a shift or repeats would put them all there when connections are shortest. It is done
+// anew where the list has grown to more than twice, as after a start by a short, wrong one.
 func (p *planner) found(fleet []view) {
 	pairs := float64(p.proxies*len(p.kinds)/p.instances + len(fleet)/len(p.zones))
 	size, count := max(2, int(math.Ceil(1.5*pairs/p.intake))), make([]int, len(p.zones))
@@ -323,7 +323,8 @@
 			count[v.zone]++
 		}
 	}
-	p.groups = len(fleet)
+	p.founded, p.groups, p.crews = len(fleet), len(fleet), nil
+	p.member, p.homes = map[control.Backend]int{}, map[control.Proxy]int{}
 	for _, n := range count {
 		if n > 0 {
 			p.groups = max(1, min(p.groups, n/size))
@@ -342,7 +343,7 @@
 // pack packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod, so that
 // what strikes a pod strikes few of a group.
 func (p *planner) pack(fleet []view, round bool) {
-	if p.crews == nil {
+	if len(fleet) > 2*p.founded {
 		p.found(fleet)
 	}
 	for i, c := range p.crews {
@@ -662,8 +663,7 @@
 func (p *planner) level(k int, away, usage float64) float64 {
 	if away <= 0 {
 		return everything
-	}
-	if p.levels == control.LevelShare {
+	} else if p.levels == control.LevelShare {
 		return 1 - away
 	}
 	low, high := 0.0, usage
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -469,11 +469,23 @@
 	change := ready("a", held...)
 	change[0].Launched, change[1].Status = h.now, control.Draining
 	h.tell(control.List{How: control.ListChanges, Entries: change})
-	lines, all := h.tables[h.binds[0][0]], 0.0
-	for _, w := range lines {
-		all += w
-	}
+	lines := h.tables[h.binds[0][0]]
+	all := sum(slices.Collect(maps.Values(lines)))
 	if w := lines[held[0]]; len(held) != 2 || w == 0 || w > 0.3*all {
 		t.Errorf("held %v, then the cold one has %.2f of %.2f in %v", held, w, all, lines)
 	}
 }
+
+// A coordinator that starts with a short, wrong list divides its zones anew once the true one is there.
+func TestGroupsAfterAShortList(t *testing.T) {
+	h := start(t, func(up *control.Up) { up.Proxies, up.Channel.Sockets = 12, 20 })
+	h.fleet()
+	for i := range 8 {
+		id := control.Backend(rune('A' + i))
+		h.tell(control.List{Entries: append(append(ready("a", "a"+id), ready("b", "b"+id)...), ready("c", "c"+id)...)})
+	}
+	h.pass(9*second, h.steady(10, 0.3, 200_000))
+	if lines := h.tables[h.binds[0][0]]; len(lines) < 2 || len(lines) > 5 {
+		t.Errorf("of ten backends in its zone the proxy has %v", lines)
+	}
+}
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -182,10 +182,8 @@
 			if len(h.binds[id]) == 0 {
 				continue
 			}
-			lines, all := h.tables[h.binds[id][0]], 0.0
-			for _, w := range lines {
-				all += w
-			}
+			lines := h.tables[h.binds[id][0]]
+			all := sum(slices.Collect(maps.Values(lines)))
 			for _, b := range slices.Sorted(maps.Keys(lines)) {
 				if n := float64(rate) * lines[b] / all; !slices.Contains(silent, b) {
 					tries[b] += n
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -433,6 +433,7 @@
 	mean        float64                       // a backend\'s worth
 	proxies     int                           // of all controllers
 	sockets     int                           // connections that the smallest backend takes
+	founded     int                           // backends when the groups were made
 	groups      int                           // in a zone; one more stands for all of it
 	crews       []crew                        // the groups, by zone
 	member      map[control.Backend]int       // its crew
