--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -470,8 +470,7 @@
 	change[0].Launched, change[1].Status = h.now, control.Draining
 	h.tell(control.List{How: control.ListChanges, Entries: change})
 	lines := h.tables[h.binds[0][0]]
-	all := sum(slices.Collect(maps.Values(lines)))
-	if w := lines[held[0]]; len(held) != 2 || w == 0 || w > 0.3*all {
+	if w, all := lines[held[0]], sum(slices.Collect(maps.Values(lines))); len(held) != 2 || w == 0 || w > 0.3*all {
 		t.Errorf("held %v, then the cold one has %.2f of %.2f in %v", held, w, all, lines)
 	}
 }
