Narrow tables with a cold backend have a level of their own

One proxy went from 11 to 345, then over 2,000 reqs a second within two seconds while bound to a group of three; the first report of it came 0.3 s after the fall. No table, lend or rebinding of ours was at fault: all weights were right by what was known.

Change: while a cold backend stands in a group's table, the table carries a rate for each kind, so that one proxy with all kinds at that rate, on top of the load there, stays under the multiple a cold one can bear. Whole-zone tables carry none.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"math/bits"
 	"slices"
 
 	"porthub/control"
@@ -451,6 +452,7 @@
 	}
 	openness := p.openness(fleet)
 	w.lines = make([][]line, len(p.crews)*len(p.sets))
+	w.caps = slices.Repeat([]float64{everything}, len(w.lines))
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
 	for s, set := range p.sets {
 		for i, c := range p.crews {
@@ -458,7 +460,7 @@
 				continue // laid once somebody is bound to it
 			}
 			lines, weight, usage := p.table(fleet, set, c, openness[c.zone], taken), 0.0, 0.0
-			w.lines[i*len(p.sets)+s] = lines
+			w.lines[i*len(p.sets)+s], w.caps[i*len(p.sets)+s] = lines, p.guard(c, set, lines)
 			for _, l := range lines {
 				weight += l.weight
 			}
@@ -559,6 +561,22 @@
 	return lines
 }
 
+// guard is what each proxy of a narrow table may let in of each kind while a cold backend stands in it. A proxy
+// can bring a hundred times its usage before the first late report of it has come; on the few backends of a
+// group that pushes the cold ones over, and the more so the larger the fleet is beside its groups. With all
+// kinds at this level one proxy and the load on top of it bring a cold backend, at 0.7 of its part, 0.7 of the
+// multiple that it can bear; the rest is for chance and for what still travels. Whole zones need none.
+func (p *planner) guard(c crew, set kindSet, lines []line) float64 {
+	cold, carry := false, 0.0
+	for _, l := range lines {
+		cold, carry = cold || p.views[l.backend].share < 1, carry+l.weight*p.mean
+	}
+	if !cold || c.group == p.groups || p.levels != control.LevelRate || p.tip <= 1 {
+		return everything
+	}
+	return carry * (p.tip - min(1, p.use)) / float64(bits.OnesCount64(uint64(set.mask)))
+}
+
 // step is the change of what is let in that is worth a message; it also trims capacity, so that what stays
 // unsent is safe. everything is a level that turns nothing away.
 const step, everything = 0.05, 1e6
@@ -741,7 +759,10 @@
 // something was left.
 func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
 	waiting, most float64) (float64, bool) {
-	left := false
+	left, second := false, 1
+	for _, a := range w.admits {
+		second = a.SecondTry
+	}
 	for _, a := range w.admits {
 		if most == 0 || waiting+float64(len(c.streams))*(c.head()+1) > 0.9*c.queueCap {
 			left = true
@@ -775,7 +796,15 @@
 					delete(wanted, b)
 				}
 			}
+			// A table's own level goes with its lines, so that it is there no later than what it guards.
+			old, has := c.caps[t]
+			own := control.Admit{Table: t, Kinds: c.masks[i%len(c.masks)], Level: w.caps[i], SecondTry: second}
+			near := own.Level >= 0.85*old.Level && own.Level <= 1.18*old.Level && second == old.SecondTry
+			news := !near && (has || own.Level < everything)
 			streams, n := users[t-t%control.Table(len(c.masks))], float64(len(wanted))
+			if news {
+				n++
+			}
 			if loses != (pass == 0) || n == 0 {
 				continue
 			}
@@ -790,6 +819,10 @@
 				}
 				c.out.add(control.Line{Table: t, Backend: b, Weight: wanted[b]})
 			}
+			if news {
+				c.caps[t] = own
+				c.out.add(own)
+			}
 		}
 	}
 	return waiting, left
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -488,3 +488,24 @@
 		t.Errorf("of ten backends in its zone the proxy has %v", lines)
 	}
 }
+
+// One proxy's traffic grows a hundredfold before anybody hears of it: what its narrow table lets in of all kinds
+// leaves the cold backend in it under the multiple that it can bear, until it is warm.
+func TestOneProxyCannotPushOverAColdBackend(t *testing.T) {
+	h := start(t, func(up *control.Up) { up.Proxies, up.Channel.Sockets = 12, 20 })
+	h.fleet()
+	h.pass(10*second, h.steady(20, 0.4, 200_000))
+	h.tell(control.List{How: control.ListChanges, Entries: []control.Entry{
+		{Backend: "a3", Zone: "a", Weight: 1, Machine: "std", Launched: h.now - 3*second}}})
+	h.pass(second, h.steady(20, 0.4, 200_000))
+	table := h.binds[0][0]
+	lines, level := h.tables[table], h.in.planner.channel.caps[table].Level
+	part := lines["a3"] / sum(slices.Collect(maps.Values(lines)))
+	if can := 25 * (0.2 + 0.8*3/16); part == 0 || level == 0 || 2*level*part > 2.5*can {
+		t.Errorf("the cold one can do %.1f, may be sent %.2f of two kinds at %.1f", can, part, level)
+	}
+	h.pass(20*second, h.steady(20, 0.4, 200_000))
+	if level := h.in.planner.channel.caps[table].Level; level < everything {
+		t.Errorf("all are warm, the table's level is %.1f", level)
+	}
+}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -65,7 +65,8 @@
 		weight  float64
 	}
 	want struct { // planner to the channel: how the proxies should stand
-		lines  [][]line // by table
+		lines  [][]line  // by table
+		caps   []float64 // by table: what each proxy may let in of each kind
 		homes  map[control.Proxy]control.Table
 		admits []control.Admit
 		urgent bool
@@ -120,7 +121,7 @@
 	}
 	ch := newChannel(out, r.QueueCap, up.Channel.Envelope, r.MessageCap, r.MessageSpan, period)
 	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, max(1, up.Instances), up.Proxies, up.Channel.Sockets,
-		max(1, up.Reports.Intake))
+		max(1, up.Reports.Intake), r.TipMultiple)
 	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
@@ -432,6 +433,7 @@
 	intake      float64                       // report lines a second
 	mean        float64                       // a backend\'s worth
 	proxies     int                           // of all controllers
+	tip         float64                       // the multiple of its capacity that a cold backend can bear
 	sockets     int                           // connections that the smallest backend takes
 	founded     int                           // backends when the groups were made
 	groups      int                           // in a zone; one more stands for all of it
@@ -470,9 +472,9 @@
 func (s kindSet) bound() bool { return s.own || len(s.only) > 0 }
 
 func newPlanner(out *outbox, ch *channel, zones []control.Zone, kinds []control.KindSettings,
-	levels control.LevelKind, instances, proxies, sockets int, intake float64) *planner {
+	levels control.LevelKind, instances, proxies, sockets int, intake, tip float64) *planner {
 	p := &planner{out: out, channel: ch, zones: zones, kinds: kinds, levels: levels, sets: setsOf(kinds), waits: patience, pace: 1,
-		instances: instances, proxies: proxies, sockets: sockets, intake: intake, member: map[control.Backend]int{},
+		instances: instances, proxies: proxies, sockets: sockets, intake: intake, tip: tip, member: map[control.Backend]int{},
 		homes: map[control.Proxy]int{}, moved: map[control.Proxy]float64{}, clock: 100, asked: make([]float64, len(zones)),
 		views: map[control.Backend]view{}, tries: make([]float64, len(zones)), blind: make([]bool, len(zones))}
 	for _, set := range p.sets {
@@ -546,6 +548,7 @@
 	masks              []control.Kinds // of the kind sets: a zone's tables follow each other in this order
 	tables             map[control.Table]map[control.Backend]float64
 	admits             map[control.Kinds]control.Admit
+	caps               map[control.Table]control.Admit // the tables' own levels
 	streams            map[control.Proxy]*stream
 	mark               control.Mark
 	lastSent           micros
@@ -567,7 +570,7 @@
 
 func newChannel(out *outbox, queueCap, envelope float64, most int, span, period micros) *channel {
 	return &channel{out: out, queueCap: queueCap, envelope: envelope, most: most, span: span, period: period,
-		tables: map[control.Table]map[control.Backend]float64{}, admits: map[control.Kinds]control.Admit{},
+		tables: map[control.Table]map[control.Backend]float64{}, admits: map[control.Kinds]control.Admit{}, caps: map[control.Table]control.Admit{},
 		streams: map[control.Proxy]*stream{}}
 }
 
@@ -594,6 +597,9 @@
 func (c *channel) whole(home control.Table) (cost float64) {
 	for i := range c.masks {
 		cost += float64(len(c.tables[home+control.Table(i)])+len(c.admits)) + 2
+		if _, has := c.caps[home+control.Table(i)]; has {
+			cost++
+		}
 	}
 	return cost
 }
