--- /dev/null
+++ b/client/files.go
@@ -0,0 +1,170 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+
+	"porthub/front/files"
+	"porthub/tables"
+	"porthub/xds"
+)
+
+// Held is what a gateway holds by its files.
+type Held struct {
+	Snapshot       tables.Snapshot
+	EndpointsFrom  string // version of the clusters; empty: none has been read
+	RoutesFrom     string
+	Reads, Refused int // whole documents read, and texts that were none
+}
+
+// Update is one document that was read, or refused.
+type Update struct {
+	File    string
+	Doc     xds.Document
+	Err     error     // why it was refused; what was held stays
+	Written time.Time // the file's time
+	Bytes   int
+	Took    time.Duration // reading and decoding
+}
+
+// Reader follows a gateway's folder. It is for one goroutine.
+type Reader struct {
+	dir string
+	// Chunk is how many bytes are read at a time and Pause how long to wait between; 0 reads all at once. A slow reader
+	// still reads one whole document: it holds the file that it opened, whatever is moved into its place.
+	Chunk int
+	Pause time.Duration
+	seen  map[string]identity
+}
+
+// identity tells one file from the next that is moved into its place.
+type identity struct {
+	inode uint64
+	time  time.Time
+	size  int64
+}
+
+// NewReader follows the folder of a gateway below the front's.
+func NewReader(frontDir, gateway string) *Reader {
+	return &Reader{dir: filepath.Join(frontDir, gateway), seen: map[string]identity{}}
+}
+
+// Look reads what has changed since the last look, endpoints before routes. A missing file is no update.
+func (r *Reader) Look() (updates []Update) {
+	for _, name := range []string{files.EndpointFile, files.RouteFile} {
+		path := filepath.Join(r.dir, name)
+		info, err := os.Stat(path)
+		if err != nil {
+			if !errors.Is(err, fs.ErrNotExist) {
+				updates = append(updates, Update{File: path, Err: err})
+			}
+			continue
+		}
+		if identify(info) == r.seen[name] {
+			continue
+		}
+		u, id := r.read(path)
+		r.seen[name] = id
+		updates = append(updates, u)
+	}
+	return updates
+}
+
+func identify(info os.FileInfo) identity {
+	id := identity{time: info.ModTime(), size: info.Size()}
+	if s, is := info.Sys().(*syscall.Stat_t); is {
+		id.inode = s.Ino
+	}
+	return id
+}
+
+func (r *Reader) read(path string) (u Update, id identity) {
+	start := time.Now()
+	u.File = path
+	f, err := os.Open(path)
+	if err != nil {
+		u.Err = err
+		return u, id
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil { // of what was opened, not of what stands there by now
+		id, u.Written = identify(info), info.ModTime()
+	}
+	var text []byte
+	if r.Chunk <= 0 {
+		text, err = io.ReadAll(f)
+	} else {
+		part := make([]byte, r.Chunk)
+		for n := 0; err == nil; {
+			n, err = f.Read(part)
+			text = append(text, part[:n]...)
+			time.Sleep(r.Pause)
+		}
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+	}
+	if err != nil {
+		u.Err = err
+		return u, id
+	}
+	u.Bytes = len(text)
+	u.Doc, u.Err = xds.Read(text)
+	u.Took = time.Since(start)
+	return u, id
+}
+
+// Apply puts an update into what is held. A refused one changes nothing but the count.
+func (h *Held) Apply(u Update) {
+	if u.Err != nil {
+		h.Refused++
+		return
+	}
+	h.Reads++
+	switch u.Doc.Type {
+	case xds.EndpointType:
+		h.Snapshot.Clusters, h.EndpointsFrom = u.Doc.Clusters, u.Doc.Version
+	case xds.RouteType:
+		h.Snapshot.Routes, h.RoutesFrom = u.Doc.Routes, u.Doc.Version
+	}
+}
+
+// Follow looks whenever the folder changes, and every poll in any case, until the context ends.
+func (r *Reader) Follow(ctx context.Context, poll time.Duration, each func([]Update)) {
+	var signals chan fsnotify.Event
+	w, err := fsnotify.NewWatcher()
+	if err == nil {
+		defer w.Close()
+		signals = w.Events
+	}
+	watched := false
+	tick := time.NewTicker(poll)
+	defer tick.Stop()
+	for {
+		if !watched && w != nil {
+			watched = w.Add(r.dir) == nil // the folder comes with the first publication
+		}
+		if updates := r.Look(); len(updates) > 0 {
+			each(updates)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-tick.C:
+		}
+	}
+}
+
+func (u Update) String() string {
+	return fmt.Sprintf("%s: %s, %d bytes, %v", u.File, u.Doc.Version, u.Bytes, u.Err)
+}
--- /dev/null
+++ b/cmd/porthub/main.go
@@ -0,0 +1,63 @@
+// Command porthub runs and examines coordinators.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"porthub/config"
+	"porthub/daemon"
+)
+
+// Exit codes, for scripts.
+const (
+	exitWell        = 0
+	exitNotHeld     = 1 // it ran, and something asked for does not hold
+	exitUsage       = 2 // bad usage or unreadable input
+	exitEnvironment = 3 // the machine failed: a port taken, a disk full
+)
+
+// errNotHeld ends a command whose findings have been printed already.
+var errNotHeld = errors.New("something asked for does not hold")
+
+func main() {
+	cmd := root()
+	err := cmd.Execute()
+	if err != nil && !errors.Is(err, errNotHeld) {
+		fmt.Fprintln(os.Stderr, "porthub:", err)
+	}
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var findings config.Findings
+	switch {
+	case err == nil:
+		return exitWell
+	case errors.Is(err, errNotHeld), errors.As(err, &findings):
+		return exitNotHeld
+	case errors.Is(err, daemon.ErrEnvironment):
+		return exitEnvironment
+	default:
+		return exitUsage
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "porthub",
+		Short: "A traffic director for sidecar fleets",
+		Long: `porthub hands plain gateways their weights: it follows a node list and the gateways' reports, decides tables,
+admission levels and second tries, and writes them as xDS files that are swapped whole.
+
+Exit codes: 0 all well; 1 it ran and something asked for does not hold; 2 bad usage or unreadable input;
+3 the machine failed (a port taken, a disk full).`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(serveCommand(), checkCommand(), tablesCommand(), versionCommand())
+	return cmd
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,318 @@
+// Package config reads the settings of a coordinator: JSON with comments and trailing commas. Every finding names
+// file, line and key, and says what would be right; all are found in one go.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+
+	"porthub/control"
+)
+
+// Duration is a length of time; in the file it is a string with a unit, such as "750ms", "2.5s" or "1m".
+type Duration control.Micros
+
+// Config is the whole file. Defaults stand in Default.
+type Config struct {
+	Coordinator Coordinator `json:"coordinator"`
+	Listen      string      `json:"listen"`    // address and port for gateways and tools; port 0 takes a free one
+	StateDir    string      `json:"state_dir"` // where the last list is kept
+	LogLevel    string      `json:"log_level"` // debug, info, warn or error
+	Front       Front       `json:"front"`
+	Registry    Registry    `json:"registry"`
+	Zones       []string    `json:"zones"`
+	Kinds       []Kind      `json:"request_kinds"`
+	Rules       Rules       `json:"rules"`
+	Channel     Channel     `json:"channel"`
+	Reports     Reports     `json:"reports"`
+	Gateways    Gateways    `json:"gateways"`
+	Probes      Probes      `json:"probes"`
+	Levels      string      `json:"levels"` // rate, share or off
+}
+
+// Coordinator is this instance among its like.
+type Coordinator struct {
+	Zone      string `json:"zone"`
+	Index     int    `json:"index"`     // from 0
+	Instances int    `json:"instances"` // how many there are
+	Seed      int    `json:"seed"`      // of all chance
+}
+
+// Front is how tables reach gateways.
+type Front struct {
+	Files FilesFront `json:"files"`
+}
+
+// FilesFront is the xDS filesystem subscription.
+type FilesFront struct {
+	Dir     string `json:"dir"`     // one folder a gateway below it
+	Writers int    `json:"writers"` // files written at once
+}
+
+// Registry is where the node list comes from.
+type Registry struct {
+	File FileRegistry `json:"file"`
+}
+
+// FileRegistry is a file_sd list.
+type FileRegistry struct {
+	Path string   `json:"path"`
+	Poll Duration `json:"poll"` // looked at this often even if no change was signalled
+}
+
+// Kind is one request kind.
+type Kind struct {
+	Name           string   `json:"name"`
+	Repeat         string   `json:"repeat"`       // replayable, uniqued or non-replayable
+	RepeatScope    string   `json:"repeat_scope"` // of uniqued kinds: all, zone or pod
+	ResponseTarget Duration `json:"response_target"`
+	ClientTimeout  Duration `json:"client_timeout"`
+	Payoff         float64  `json:"payoff"`
+	OnlyZones      []string `json:"only_zones"`
+	OwnZone        bool     `json:"own_zone"`
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	EmptyFor     Duration `json:"empty_for"`     // longest time without a line to pick
+	DrainGrace   Duration `json:"drain_grace"`   // after a drain nothing is sent past this
+	Cold         Duration `json:"cold"`          // warm at the latest this long after the start
+	ColdFrom     float64  `json:"cold_from"`     // part of its capacity at the start
+	ColdMultiple float64  `json:"cold_multiple"` // times what it can do that pushes a cold one over ...
+	ColdWindow   Duration `json:"cold_window"`   // ... if it lasts this long
+	GoneBinds    bool     `json:"gone_binds"`    // false: only a stated drain binds, being dropped from the list does not
+	WaitingLines float64  `json:"waiting_lines"` // lines on their way to all gateways together
+	Messages     int      `json:"messages"`      // to one gateway ...
+	MessagesIn   Duration `json:"messages_in"`   // ... within this
+}
+
+// Channel tells how orders travel.
+type Channel struct {
+	LinesPerS    float64  `json:"lines_per_s"`
+	Envelope     float64  `json:"envelope"` // lines that a message costs besides its own
+	Transit      Duration `json:"transit"`
+	WorstTransit Duration `json:"worst_transit"`
+	Connections  int      `json:"connections"` // that the smallest calc node accepts
+}
+
+// Reports tell how gateways report.
+type Reports struct {
+	Period   Duration `json:"period"`
+	LinesPer float64  `json:"lines_per_s"` // at most so many are taken in
+	Loads    []string `json:"loads"`       // load figures in answers: util, queue, qps
+}
+
+// Gateways tells what to expect of them.
+type Gateways struct {
+	Expected    int      `json:"expected"`
+	ShunAfter   int      `json:"shun_after"`   // own failures in a row after which one avoids a calc node; 0: never
+	SilentAfter Duration `json:"silent_after"` // without a report or an acknowledgement it counts as away
+}
+
+// Probes tells whether calc nodes may be probed.
+type Probes struct {
+	Allowed bool     `json:"allowed"`
+	Path    string   `json:"path"`
+	Timeout Duration `json:"timeout"`
+	AtOnce  int      `json:"at_once"`
+}
+
+// Default has the value of every key that may be left out.
+func Default() Config {
+	const ms, s = 1000, 1_000_000
+	return Config{
+		Coordinator: Coordinator{Instances: 1, Seed: 1},
+		Listen:      "127.0.0.1:0",
+		LogLevel:    "info",
+		Front:       Front{Files: FilesFront{Writers: 4}},
+		Registry:    Registry{File: FileRegistry{Poll: 500 * ms}},
+		Rules: Rules{EmptyFor: 5 * s, DrainGrace: 3 * s, Cold: 17 * s, ColdFrom: 0.16, ColdMultiple: 2.5,
+			ColdWindow: 2 * s, GoneBinds: true, WaitingLines: 8000, Messages: 20, MessagesIn: 10 * s},
+		Channel: Channel{LinesPerS: 6000, Envelope: 6, Transit: 100 * ms, WorstTransit: 500 * ms, Connections: 200},
+		Reports: Reports{Period: 1 * s, LinesPer: 2000, Loads: []string{"util", "queue"}},
+		Gateways: Gateways{Expected: 1, ShunAfter: 5,
+			SilentAfter: 5 * s},
+		Probes: Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
+		Levels: "rate",
+	}
+}
+
+// Finding is one thing that is wrong in a file.
+type Finding struct {
+	File, Key string
+	Line      int // from 1
+	Wrong     string
+	Right     string // what would be right
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s, %s", f.File, f.Line, f.Key, f.Wrong, f.Right)
+}
+
+// Findings is an error that holds everything found.
+type Findings []Finding
+
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ErrUnreadable is a file that can't be opened.
+var ErrUnreadable = errors.New("can't be read")
+
+// Load reads and checks a file. The error is Findings, or wraps ErrUnreadable.
+func Load(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w: %v", path, ErrUnreadable, err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks a text; the name of its file stands in findings. The error is Findings.
+func Parse(file string, text []byte) (Config, error) {
+	cfg := Default()
+	d := decoder{file: file, text: text, lines: map[string]int{}}
+	d.document(&cfg)
+	if len(d.found) == 0 {
+		d.check(cfg)
+	}
+	if len(d.found) > 0 {
+		slices.SortStableFunc(d.found, func(a, b Finding) int { return a.Line - b.Line })
+		return cfg, Findings(d.found)
+	}
+	return cfg, nil
+}
+
+// check looks for values out of range and for contradictions.
+func (d *decoder) check(c Config) {
+	need := func(ok bool, key, wrong, right string) {
+		if !ok {
+			d.finding(d.lineOf(key), key, wrong, right)
+		}
+	}
+	positive := func(key string, v float64) {
+		need(v > 0, key, fmt.Sprintf("is %v", v), "it must be above 0")
+	}
+	host, _, err := net.SplitHostPort(c.Listen)
+	need(err == nil, "listen", fmt.Sprintf("%q is no address and port", c.Listen), `such as "127.0.0.1:7070"`)
+	if ip := net.ParseIP(host); err == nil {
+		need(ip != nil && ip.IsLoopback(), "listen", fmt.Sprintf("%q is not on loopback", host),
+			"there is no authentication yet: it must be 127.0.0.1 or ::1")
+	}
+	need(c.Front.Files.Dir != "", "front.files.dir", "is missing", "name the folder that gateways read")
+	need(c.Registry.File.Path != "", "registry.file.path", "is missing", "name the node list")
+	need(len(c.Zones) > 0, "zones", "is empty", "name at least one zone")
+	for i, z := range c.Zones {
+		need(!slices.Contains(c.Zones[:i], z), fmt.Sprintf("zones[%d]", i), fmt.Sprintf("%q stands twice", z), "name each zone once")
+	}
+	need(slices.Contains(c.Zones, c.Coordinator.Zone), "coordinator.zone",
+		fmt.Sprintf("%q is not one of zones", c.Coordinator.Zone), "name the zone that this coordinator stands in")
+	need(c.Coordinator.Index >= 0 && c.Coordinator.Index < max(1, c.Coordinator.Instances), "coordinator.index",
+		fmt.Sprintf("is %d of %d", c.Coordinator.Index, c.Coordinator.Instances), "it counts from 0 and stays under instances")
+	need(len(c.Kinds) > 0 && len(c.Kinds) <= 64, "request_kinds", fmt.Sprintf("has %d", len(c.Kinds)), "name 1 to 64")
+	names := map[string]bool{}
+	for i, k := range c.Kinds {
+		key := fmt.Sprintf("request_kinds[%d].", i)
+		need(k.Name != "" && !names[k.Name], key+"name", fmt.Sprintf("%q is empty or stands twice", k.Name), "name each kind once")
+		names[k.Name] = true
+		need(slices.Contains([]string{"replayable", "uniqued", "non-replayable"}, k.Repeat), key+"repeat",
+			fmt.Sprintf("is %q", k.Repeat), "it must be replayable, uniqued or non-replayable")
+		if k.Repeat == "uniqued" {
+			need(slices.Contains([]string{"all", "zone", "pod"}, k.RepeatScope), key+"repeat_scope",
+				fmt.Sprintf("is %q", k.RepeatScope), "of a uniqued kind it must be all, zone or pod")
+		} else {
+			need(k.RepeatScope == "", key+"repeat_scope", "is set", "only uniqued kinds have one")
+		}
+		positive(key+"response_target", float64(k.ResponseTarget))
+		need(k.ClientTimeout >= k.ResponseTarget, key+"client_timeout", "is shorter than the response target",
+			"clients wait at least as long as the target")
+		positive(key+"payoff", k.Payoff)
+		for _, z := range k.OnlyZones {
+			need(slices.Contains(c.Zones, z), key+"only_zones", fmt.Sprintf("%q is not one of zones", z), "name zones that exist")
+		}
+	}
+	r := c.Rules
+	positive("rules.empty_for", float64(r.EmptyFor))
+	positive("rules.drain_grace", float64(r.DrainGrace))
+	need(r.ColdFrom > 0 && r.ColdFrom <= 1, "rules.cold_from", fmt.Sprintf("is %v", r.ColdFrom), "it must be above 0 and at most 1")
+	need(r.ColdMultiple > 1, "rules.cold_multiple", fmt.Sprintf("is %v", r.ColdMultiple), "it must be above 1")
+	positive("rules.cold_window", float64(r.ColdWindow))
+	positive("rules.messages_in", float64(r.MessagesIn))
+	need(r.Messages == 0 || r.Messages >= 4, "rules.messages", fmt.Sprintf("is %d", r.Messages),
+		"it must be 4 or more, or 0 for no limit")
+	need(r.WaitingLines >= 2*c.Channel.Envelope*float64(c.Gateways.Expected), "rules.waiting_lines",
+		fmt.Sprintf("%v is under two envelopes for each of %d gateways", r.WaitingLines, c.Gateways.Expected),
+		"a change to all gateways must fit")
+	positive("channel.lines_per_s", c.Channel.LinesPerS)
+	need(c.Channel.Envelope >= 0, "channel.envelope", "is below 0", "it must be 0 or more")
+	need(c.Channel.WorstTransit >= c.Channel.Transit, "channel.worst_transit", "is shorter than transit", "it must be as long or longer")
+	need(r.DrainGrace > c.Channel.WorstTransit, "rules.drain_grace", "is not longer than channel.worst_transit",
+		"an order must be able to arrive within the grace")
+	positive("reports.period", float64(c.Reports.Period))
+	positive("reports.lines_per_s", c.Reports.LinesPer)
+	need(c.Gateways.Expected > 0, "gateways.expected", fmt.Sprintf("is %d", c.Gateways.Expected), "it must be 1 or more")
+	need(c.Gateways.SilentAfter >= 2*c.Reports.Period, "gateways.silent_after", "is under two report periods",
+		"one late report must not cut a gateway off")
+	positive("probes.timeout", float64(c.Probes.Timeout))
+	need(c.Probes.AtOnce > 0, "probes.at_once", fmt.Sprintf("is %d", c.Probes.AtOnce), "it must be 1 or more")
+	need(c.Front.Files.Writers > 0 && c.Front.Files.Writers <= 64, "front.files.writers",
+		fmt.Sprintf("is %d", c.Front.Files.Writers), "it must be 1 to 64")
+	need(slices.Contains([]string{"rate", "share", "off"}, c.Levels), "levels", fmt.Sprintf("is %q", c.Levels), "it must be rate, share or off")
+	need(slices.Contains([]string{"debug", "info", "warn", "error"}, c.LogLevel), "log_level",
+		fmt.Sprintf("is %q", c.LogLevel), "it must be debug, info, warn or error")
+	for i, l := range c.Reports.Loads {
+		need(slices.Contains([]string{"util", "queue", "qps"}, l), fmt.Sprintf("reports.loads[%d]", i),
+			fmt.Sprintf("%q is not known", l), "it must be util, queue or qps")
+	}
+}
+
+// Up is what the decision module is handed at its start.
+func (c Config) Up() control.Up {
+	up := control.Up{Seed: uint64(c.Coordinator.Seed), Me: control.Peer(c.Coordinator.Index), Instances: max(1, c.Coordinator.Instances),
+		Zone: control.Zone(c.Coordinator.Zone), Proxies: c.Gateways.Expected, MustAsk: true, EjectAfter: c.Gateways.ShunAfter,
+		ListedWeight: true}
+	for _, z := range c.Zones {
+		up.Zones = append(up.Zones, control.Zone(z))
+	}
+	for _, k := range c.Kinds {
+		kind := control.KindSettings{Name: k.Name, ResponseTarget: control.Micros(k.ResponseTarget),
+			ClientTimeout: control.Micros(k.ClientTimeout), Payoff: k.Payoff, OwnZone: k.OwnZone}
+		switch k.Repeat {
+		case "replayable":
+			kind.Repeat = control.Replayable
+		case "uniqued":
+			kind.Repeat = control.Uniqued
+			if kind.RepeatScope = k.RepeatScope; k.RepeatScope == "pod" {
+				kind.RepeatScope = "cell"
+			}
+		}
+		for _, z := range k.OnlyZones {
+			kind.OnlyZones = append(kind.OnlyZones, control.Zone(z))
+		}
+		up.Kinds = append(up.Kinds, kind)
+	}
+	r := c.Rules
+	up.Rules = control.RuleSettings{EmptyFor: control.Micros(r.EmptyFor), DrainGrace: control.Micros(r.DrainGrace),
+		Cold: control.Micros(r.Cold), ColdFrom: r.ColdFrom, TipMultiple: r.ColdMultiple, Fall: control.Micros(r.ColdWindow),
+		SoftRemoval: !r.GoneBinds, QueueCap: r.WaitingLines, MessageCap: r.Messages, MessageSpan: control.Micros(r.MessagesIn),
+		ProbeAllowed: c.Probes.Allowed}
+	up.Channel = control.ChannelSettings{LinesPerS: c.Channel.LinesPerS, Envelope: c.Channel.Envelope,
+		Transit: control.Micros(c.Channel.Transit), WorstTransit: control.Micros(c.Channel.WorstTransit), Sockets: c.Channel.Connections}
+	up.Reports = control.ReportSettings{Period: control.Micros(c.Reports.Period), Intake: c.Reports.LinesPer, InReport: true}
+	for _, l := range c.Reports.Loads {
+		up.Reports.Fields = append(up.Reports.Fields, LoadNames[l])
+	}
+	up.Levels = map[string]control.LevelKind{"off": control.LevelOff, "share": control.LevelShare, "rate": control.LevelRate}[c.Levels]
+	return up
+}
+
+// LoadNames turns the load figures' names in answers into those that the module knows.
+var LoadNames = map[string]string{"util": "busy", "queue": "q", "qps": "rate"}
--- /dev/null
+++ b/coordinator/core.go
@@ -0,0 +1,267 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"porthub/choice"
+	"porthub/control"
+	"porthub/tables"
+)
+
+type micros = control.Micros
+
+const second micros = 1_000_000
+
+// Settings are what a core is handed at its start.
+type Settings struct {
+	Up          control.Up
+	Epoch       string // names this start; versions of two starts never look alike
+	SilentAfter micros // without a word for so long a gateway counts as away
+	AllowEmpty  bool   // an empty list after one that was not is believed
+}
+
+// Core is one coordinator's state. Its zero value does not work: use New.
+type Core struct {
+	set     Settings
+	module  *choice.Instance
+	now     micros
+	steps   uint64
+	timers  []timer
+	orders  []control.Order // of the last step
+	outputs []Output
+
+	list     roster
+	relisted bool // the list has changed: documents are checked against it whether the module reaches them or not
+	gateways map[Gateway]*gateway
+	byProxy  map[control.Proxy]*gateway
+	kinds    map[string]control.ReqKind
+
+	// What the module has ordered and not taken back.
+	lines     map[control.Table]map[control.Backend]float64
+	levels    map[control.Table]map[control.ReqKind]control.Admit
+	withdrawn map[control.Backend]bool
+
+	sums   sums
+	counts map[string]*count
+}
+
+type timer struct {
+	at    micros
+	token control.Token
+}
+
+// New starts a core. The saved list, if there is one, is the first input.
+func New(set Settings) *Core {
+	c := &Core{set: set, module: choice.New(set.Up), gateways: map[Gateway]*gateway{}, byProxy: map[control.Proxy]*gateway{},
+		kinds: map[string]control.ReqKind{}, lines: map[control.Table]map[control.Backend]float64{},
+		levels:    map[control.Table]map[control.ReqKind]control.Admit{},
+		withdrawn: map[control.Backend]bool{}, counts: map[string]*count{}}
+	for k, kind := range set.Up.Kinds {
+		c.kinds[kind.Name] = control.ReqKind(k)
+	}
+	c.list.entries = map[control.Backend]control.Entry{}
+	c.list.firstSeen = map[control.Backend]micros{}
+	c.sums.reset()
+	return c
+}
+
+// Step tells the core what has happened by now and returns what it wants done. Time never goes back: a now before
+// the last one counts as the last one, so a clock that steps can't undo what was decided.
+func (c *Core) Step(now micros, inputs []Input) []Output {
+	c.now = max(c.now, now)
+	c.steps++
+	c.outputs, c.orders = nil, nil
+	var events []control.Event
+	for _, in := range inputs {
+		events = append(events, c.input(in)...)
+	}
+	events = append(events, c.watchGateways()...)
+	for {
+		due := c.due()
+		if len(due) > 0 {
+			events = append(events, c.flush()...)
+			events = append(events, due...)
+		}
+		if len(events) == 0 && c.steps > 1 {
+			break
+		}
+		orders := c.module.Take(c.now, events)
+		events = nil
+		c.orders = append(c.orders, orders...)
+		events = append(events, c.carryOut(orders)...)
+		if len(events) == 0 {
+			break
+		}
+	}
+	c.tellCounts()
+	return c.outputs
+}
+
+// Next is when the core wants to be stepped again, even without an input.
+func (c *Core) Next() micros {
+	next := c.now + second
+	for _, t := range c.timers {
+		next = min(next, t.at)
+	}
+	return max(next, c.now)
+}
+
+// Steps counts the steps taken; with it the log says where the input stood when something went wrong.
+func (c *Core) Steps() uint64 { return c.steps }
+
+// Orders are the module's orders of the last step, for those who compare them.
+func (c *Core) Orders() []control.Order { return c.orders }
+
+func (c *Core) out(o Output) { c.outputs = append(c.outputs, o) }
+
+func (c *Core) note(level NoteLevel, event, format string, args ...any) {
+	c.out(Note{Level: level, Event: event, Text: fmt.Sprintf(format, args...)})
+}
+
+// due takes the timers that are due, in the order of their times.
+func (c *Core) due() (events []control.Event) {
+	slices.SortStableFunc(c.timers, func(a, b timer) int { return cmp.Compare(a.at, b.at) })
+	n := 0
+	for n < len(c.timers) && c.timers[n].at <= c.now {
+		events = append(events, control.Ring{Token: c.timers[n].token})
+		n++
+	}
+	c.timers = c.timers[n:]
+	return events
+}
+
+func (c *Core) input(in Input) []control.Event {
+	switch in := in.(type) {
+	case List:
+		return c.listed(in)
+	case Join:
+		return c.join(in)
+	case Leave:
+		return c.leave(in)
+	case Ack:
+		return c.ack(in)
+	case Report:
+		c.report(in)
+	case Probed:
+		if _, known := c.list.entries[in.Backend]; known {
+			return []control.Event{in.Probed}
+		}
+	case Failed:
+		c.complain("publish_failed", in.Gateway, "%s", in.Why)
+	default:
+		panic(fmt.Sprintf("coordinator: no such input: %T", in))
+	}
+	return nil
+}
+
+// carryOut keeps what the module ordered and publishes what has changed for each gateway. It returns what the module
+// must be told at once: acknowledgements of messages that hold nothing new.
+func (c *Core) carryOut(orders []control.Order) []control.Event {
+	touched := map[control.Table]bool{}
+	all, mark := false, control.Mark(-1)
+	bound := map[control.Proxy]bool{}
+	for _, order := range orders {
+		switch o := order.(type) {
+		case control.Log:
+			c.out(Note{Level: Info, Event: "mode", Text: o.Text})
+		case control.Watch:
+			c.out(Watch{o.On})
+		case control.Fetch:
+			c.out(Fetch{})
+		case control.Sleep:
+			c.timers = append(c.timers, timer{c.now + o.After, o.Token})
+		case control.Probe:
+			c.out(Probe{o.Backend})
+		case control.Line:
+			touched[o.Table] = true
+			if c.lines[o.Table] == nil {
+				c.lines[o.Table] = map[control.Backend]float64{}
+			}
+			if c.lines[o.Table][o.Backend] = o.Weight; o.Weight == 0 {
+				delete(c.lines[o.Table], o.Backend)
+			}
+		case control.Clear:
+			touched[o.Table] = true
+			delete(c.lines, o.Table)
+			delete(c.levels, o.Table)
+		case control.Bind:
+			if g := c.byProxy[o.Proxy]; g != nil {
+				for k := range c.set.Up.Kinds {
+					if o.Kinds == 0 || o.Kinds&(1<<k) != 0 {
+						g.binds[k], bound[o.Proxy] = o.Table, true
+					}
+				}
+			}
+		case control.Withdraw:
+			c.withdrawn[o.Backend] = o.On
+			for t, lines := range c.lines {
+				if _, has := lines[o.Backend]; has {
+					touched[t] = true
+				}
+			}
+		case control.Admit:
+			if all = all || o.Table == control.AllTables; o.Table != control.AllTables {
+				touched[o.Table] = true
+			}
+			if c.levels[o.Table] == nil {
+				c.levels[o.Table] = map[control.ReqKind]control.Admit{}
+			}
+			for k := range c.set.Up.Kinds {
+				if o.Kinds == 0 || o.Kinds&(1<<k) != 0 {
+					c.levels[o.Table][control.ReqKind(k)] = o
+				}
+			}
+		case control.Marked:
+			mark, all = o.Mark, all || o.All
+		}
+	}
+	var events []control.Event
+	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
+		g := c.byProxy[proxy]
+		reached := all || bound[proxy] || c.relisted
+		for _, t := range g.binds {
+			reached = reached || touched[t]
+		}
+		if g.joined && g.bound() && (reached || g.stale) {
+			events = append(events, c.publish(g, mark)...)
+		}
+	}
+	c.relisted = false
+	return events
+}
+
+// snapshot is what a gateway is to hold by the module's orders. Whatever the module's tables say, nothing that
+// drains or is gone stays open: a table the module has stopped laying out may still be somebody's.
+func (c *Core) snapshot(g *gateway) tables.Snapshot {
+	var s tables.Snapshot
+	for k, kind := range c.set.Up.Kinds {
+		table, k := g.binds[k], control.ReqKind(k)
+		s.Clusters = append(s.Clusters, tables.Build(kind.Name, c.lines[table], c.list.zone, func(b control.Backend) bool {
+			return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
+		}))
+		r := tables.Route{Kind: kind.Name, Rate: tables.Unlimited, Share: 1, Timeout: kind.ClientTimeout}
+		for _, t := range []control.Table{control.AllTables, table} {
+			a, has := c.levels[t][k]
+			if !has {
+				continue
+			}
+			switch c.set.Up.Levels {
+			case control.LevelRate:
+				if a.Level < everything && (r.Rate < 0 || a.Level < r.Rate) {
+					r.Rate = a.Level
+				}
+			case control.LevelShare:
+				r.Share = min(r.Share, a.Level)
+			}
+			r.SecondTry = a.SecondTry
+		}
+		s.Routes = append(s.Routes, r)
+	}
+	return s
+}
+
+// everything is a rate that no gateway comes near; the module says so to turn nothing away.
+const everything = 1e6
--- /dev/null
+++ b/coordinator/gateways.go
@@ -0,0 +1,241 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"porthub/control"
+	"porthub/tables"
+)
+
+// gateway is one that has ever joined.
+type gateway struct {
+	name   Gateway
+	proxy  control.Proxy
+	zone   control.Zone
+	conn   Conn
+	linked bool // a connection stands
+	joined bool // the module counts it as joined
+	binds  []control.Table
+
+	seq       uint64 // of its last report
+	heardAt   micros // last word of any kind
+	joinedAt  micros
+	confirmed [docs]message // last acknowledged
+	waiting   []message     // published and not acknowledged, the oldest first
+	sent      tables.Snapshot
+	published int  // messages, in this process
+	stale     bool // must be published whole even if nothing changed
+	retryAt   micros
+	retries   int
+
+	expelled int    // times it was put out for not acknowledging
+	letInAt  micros // not joined again before
+	fresh    bool
+	weight   float64
+}
+
+// message is one publication on its way.
+type message struct {
+	version string
+	nonce   string
+	changed [docs]bool
+	acked   [docs]bool
+	mark    control.Mark // -1: none
+	at      micros
+	lines   int
+}
+
+func (m message) done() bool {
+	for d := range docs {
+		if m.changed[d] && !m.acked[d] {
+			return false
+		}
+	}
+	return true
+}
+
+const unbound control.Table = -1
+
+func (g *gateway) bound() bool { return !slices.Contains(g.binds, unbound) }
+
+// join takes a gateway in. One that connects twice under one name is one gateway: the later connection stands and
+// the earlier is closed, since the later one knows best that the earlier is dead.
+func (c *Core) join(in Join) []control.Event {
+	var events []control.Event
+	g := c.gateways[in.Gateway]
+	if g == nil {
+		if len(c.gateways) >= mostGateways {
+			c.complain("too_many_gateways", in.Gateway, "there are %d already", len(c.gateways))
+			c.out(Drop{in.Conn, "too many gateways"})
+			return nil
+		}
+		g = &gateway{name: in.Gateway, proxy: control.Proxy(len(c.gateways))}
+		c.gateways[in.Gateway], c.byProxy[g.proxy] = g, g
+	}
+	if !slices.Contains(c.set.Up.Zones, in.Zone) {
+		c.complain("bad_zone", in.Gateway, "zone %q is not one of %v", in.Zone, c.set.Up.Zones)
+		c.out(Drop{in.Conn, "unknown zone"})
+		return nil
+	}
+	if g.linked && g.conn != in.Conn {
+		c.complain("name_taken_over", in.Gateway, "a second connection under this name: the first one is closed")
+		c.out(Drop{g.conn, "another connection under this name"})
+		events = append(events, c.part(g)...)
+	}
+	g.conn, g.linked, g.zone, g.heardAt, g.fresh, g.weight = in.Conn, true, in.Zone, c.now, in.Standing, in.Weight
+	g.seq = 0
+	return append(events, c.letIn(g)...)
+}
+
+// mostGateways bounds what names alone can cost.
+const mostGateways = 60000
+
+// letIn joins a linked gateway unless it has to wait.
+func (c *Core) letIn(g *gateway) []control.Event {
+	if !g.linked || g.joined || c.now < g.letInAt {
+		return nil
+	}
+	g.joined, g.joinedAt = true, c.now
+	g.binds = slices.Repeat([]control.Table{unbound}, len(c.set.Up.Kinds))
+	g.waiting, g.sent, g.stale, g.retries, g.retryAt = nil, tables.Snapshot{}, true, 0, 0
+	return []control.Event{control.Joined{Proxy: g.proxy, Zone: g.zone, Fresh: g.fresh, Weight: g.weight}}
+}
+
+// part ends a gateway's connection as far as the module goes; it keeps its files and goes on by them.
+func (c *Core) part(g *gateway) []control.Event {
+	was := g.joined
+	g.linked, g.joined, g.waiting = false, false, nil
+	if was {
+		return []control.Event{control.Left{Proxy: g.proxy}}
+	}
+	return nil
+}
+
+func (c *Core) leave(in Leave) []control.Event {
+	g := c.gateways[in.Gateway]
+	if g == nil || g.conn != in.Conn || !g.linked {
+		return nil // a connection that another one had replaced
+	}
+	return c.part(g)
+}
+
+// speaker is the gateway that a message comes from, if its connection is the one that stands.
+func (c *Core) speaker(name Gateway, conn Conn) *gateway {
+	g := c.gateways[name]
+	if g == nil || !g.linked || g.conn != conn {
+		return nil
+	}
+	g.heardAt = c.now
+	return g
+}
+
+// watchGateways finds gateways that have fallen silent and those whose time to be let in again has come. One that
+// reports but acknowledges nothing is put out as well: its unsaid lines would hold everyone's orders back. It comes
+// in again later each time, so that it costs only itself.
+func (c *Core) watchGateways() []control.Event {
+	var events []control.Event
+	for p := range control.Proxy(len(c.gateways)) {
+		g := c.byProxy[p]
+		switch {
+		case !g.linked:
+		case c.now-g.heardAt > c.set.SilentAfter:
+			c.complain("silent", g.name, "no word for %.1f s: it counts as away", float64(c.now-g.heardAt)/float64(second))
+			c.out(Drop{g.conn, "silent"})
+			events = append(events, c.part(g)...)
+		case g.joined && len(g.waiting) > 0 && c.now-g.waiting[0].at > c.ackWithin():
+			g.expelled++
+			g.letInAt = c.now + min(second<<min(g.expelled, 6), 60*second)
+			c.complain("no_acknowledgement", g.name, "version %s not acknowledged for %.1f s: it counts as away for %.0f s",
+				g.waiting[0].version, float64(c.now-g.waiting[0].at)/float64(second), float64(g.letInAt-c.now)/float64(second))
+			was := g.linked
+			events = append(events, c.part(g)...)
+			g.linked = was
+		case !g.joined:
+			events = append(events, c.letIn(g)...)
+		case g.retryAt > 0 && c.now >= g.retryAt && g.bound():
+			g.retryAt, g.stale = 0, true
+			events = append(events, c.publish(g, -1)...)
+		}
+	}
+	return events
+}
+
+// ackWithin is how long an acknowledgement may take: ten times the longest way there and back, and no less than the
+// time after which a gateway counts as silent.
+func (c *Core) ackWithin() micros { return max(10*c.set.Up.Channel.WorstTransit, c.set.SilentAfter) }
+
+// publish brings a gateway to what it should hold. What is the same as what was sent last costs no message: its mark
+// goes with the last message on its way, or is done at once.
+func (c *Core) publish(g *gateway, mark control.Mark) []control.Event {
+	s := c.snapshot(g)
+	m := message{mark: mark, at: c.now, lines: tables.Cost(g.sent, s)}
+	m.changed = [docs]bool{g.stale || !s.SameClusters(g.sent), g.stale || !s.SameRoutes(g.sent)}
+	g.stale = false
+	if m.changed == ([docs]bool{}) {
+		if mark < 0 {
+			return nil
+		}
+		if n := len(g.waiting); n > 0 {
+			g.waiting[n-1].mark = mark
+			return nil
+		}
+		return []control.Event{control.Applied{Proxy: g.proxy, Mark: mark}}
+	}
+	g.published++
+	m.nonce = fmt.Sprintf("%s.%d", c.set.Epoch, g.published)
+	m.version = m.nonce
+	g.sent = s
+	g.waiting = append(g.waiting, m)
+	c.out(Publish{Gateway: g.name, Version: m.version, Nonce: m.nonce, Snapshot: s, Changed: m.changed})
+	return nil
+}
+
+// ack takes an acknowledgement in. Only what this process has published to this gateway and is still on its way
+// counts; anything else (an earlier start's version at joining, a repeat, an invention) is passed over, and noted
+// where it is no version a gateway could hold.
+func (c *Core) ack(in Ack) []control.Event {
+	g := c.speaker(in.Gateway, in.Conn)
+	if g == nil || in.Doc < 0 || in.Doc >= docs {
+		return nil
+	}
+	if in.Error != "" {
+		return c.refused(g, in)
+	}
+	at := slices.IndexFunc(g.waiting, func(m message) bool { return m.version == in.Version })
+	if at < 0 {
+		if in.Version != "" && g.confirmed[in.Doc].version != in.Version && strings.HasPrefix(in.Version, c.set.Epoch+".") {
+			c.complain("unknown_version", g.name, "acknowledged %s %s, which is not on its way to it", in.Doc, in.Version)
+		}
+		return nil
+	}
+	// A file that was replaced before it was read is held in its later form: earlier ones count as read.
+	for i := range g.waiting[:at+1] {
+		g.waiting[i].acked[in.Doc] = true
+	}
+	g.confirmed[in.Doc] = g.waiting[at]
+	g.confirmed[in.Doc].at = c.now
+	var events []control.Event
+	for len(g.waiting) > 0 && g.waiting[0].done() {
+		m := g.waiting[0]
+		g.waiting, g.retries, g.expelled = g.waiting[1:], 0, 0
+		if m.mark >= 0 {
+			events = append(events, control.Applied{Proxy: g.proxy, Mark: m.mark, Took: c.now - m.at})
+		}
+	}
+	return events
+}
+
+// refused notes a refusal and sends the whole again, later each time: the gateway may have read it at a bad moment,
+// and what it holds meanwhile is its last good one.
+func (c *Core) refused(g *gateway, in Ack) []control.Event {
+	if !slices.ContainsFunc(g.waiting, func(m message) bool { return m.nonce == in.Nonce }) {
+		return nil
+	}
+	g.retries++
+	wait := min(2*second<<min(g.retries-1, 4), 30*second)
+	g.retryAt = c.now + wait
+	c.complain("refused", g.name, "%s %s: %.200s: sent again in %.0f s", in.Doc, in.Nonce, in.Error, float64(wait)/float64(second))
+	return nil
+}
--- /dev/null
+++ b/coordinator/io.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"porthub/control"
+	"porthub/tables"
+)
+
+// Gateway is a gateway's name, its node id on the wire.
+type Gateway string
+
+// Conn is one connection of a gateway. It is never used twice within a process.
+type Conn uint64
+
+// Input is something the core is told.
+type Input any
+
+type (
+	// List is an answer of the node list, or its failure (How ListFailed, Why says what went wrong).
+	List struct {
+		control.List
+		Why string
+	}
+	// Join says that a gateway has opened a connection and named itself.
+	Join struct {
+		Gateway  Gateway
+		Conn     Conn
+		Zone     control.Zone
+		Standing bool    // it holds only its standing table
+		Weight   float64 // usual reqs a second; 0: not known
+	}
+	// Leave says that a connection has ended.
+	Leave struct {
+		Gateway Gateway
+		Conn    Conn
+	}
+	// Ack is a gateway's answer to a document: it holds Version now, or refused the one with Nonce (Error is not empty).
+	Ack struct {
+		Gateway Gateway
+		Conn    Conn
+		Doc     Doc
+		Version string
+		Nonce   string
+		Error   string
+	}
+	// Report sums what a gateway did in the last interval.
+	Report struct {
+		Gateway  Gateway
+		Conn     Conn
+		Seq      uint64 // counts a gateway's reports; what is not above the last is a repeat or late
+		Interval control.Micros
+		Kinds    []KindReport
+	}
+	// Probed is the finding of a probe.
+	Probed struct{ control.Probed }
+	// Failed says that a document could not be handed over; the front tries again by itself.
+	Failed struct {
+		Gateway Gateway
+		Why     string
+	}
+)
+
+// KindReport is a report's part for one request kind. All counts are of reqs or tries in the interval.
+type KindReport struct {
+	Kind      string
+	Arrived   int // reqs that came, with clients' repeats and denied ones
+	Denied    int // by the level or for want of a line
+	Errored   int // let in and not answered
+	Endpoints []EndpointReport
+}
+
+// EndpointReport is what a gateway met at one backend.
+type EndpointReport struct {
+	Backend control.Backend
+	Tries   int // that ended
+	Errored int // of them: errors, refusals, time-outs, failed connects
+	Active  int // not ended yet
+	Answer  control.Micros
+	Loads   control.Loads // by the module's names
+}
+
+// Doc is one of the documents that a gateway is given.
+type Doc int
+
+const (
+	Endpoints Doc = iota // clusters: who may be sent to
+	Routes               // levels and second tries
+	docs
+)
+
+func (d Doc) String() string { return [...]string{"endpoints", "routes"}[d] }
+
+// Output is something the core wants done.
+type Output any
+
+type (
+	// Publish brings a gateway the documents that have changed, endpoints before routes.
+	Publish struct {
+		Gateway  Gateway
+		Version  string // of the documents in this message
+		Nonce    string
+		Snapshot tables.Snapshot
+		Changed  [docs]bool
+	}
+	// Probe examines a backend.
+	Probe struct{ Backend control.Backend }
+	// Watch asks the node list for its changes from now on; a List answers, also when it fails.
+	Watch struct{ On bool }
+	// Fetch asks for the whole list once.
+	Fetch struct{}
+	// Save asks to keep the list for the next start.
+	Save struct{ List control.List }
+	// Drop closes a connection.
+	Drop struct {
+		Conn Conn
+		Why  string
+	}
+	// Note is a record for staff. Event is a short fixed name, Text what happened with its figures.
+	Note struct {
+		Level   NoteLevel
+		Event   string
+		Text    string
+		Gateway Gateway
+		Backend control.Backend
+		Count   int // of the same since the last such record
+	}
+)
+
+// NoteLevel is how much staff should mind.
+type NoteLevel int
+
+const (
+	Debug NoteLevel = iota
+	Info
+	Warn
+)
--- /dev/null
+++ b/coordinator/reports.go
@@ -0,0 +1,174 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"porthub/control"
+)
+
+// sums is what the gateways have reported since the module was last told.
+type sums struct {
+	heard map[heardKey]*heardSum
+	usage map[usageKey]*control.Usage
+}
+
+type heardKey struct {
+	zone    control.Zone
+	backend control.Backend
+}
+
+type usageKey struct {
+	proxy control.Proxy
+	kind  control.ReqKind
+}
+
+type heardSum struct {
+	tries, errored int
+	answer         float64 // sum over the done ones, microseconds
+	period         micros
+	loads          control.Loads
+	loadsOf        int // tries of the report whose loads are kept
+}
+
+func (s *sums) reset() {
+	s.heard, s.usage = map[heardKey]*heardSum{}, map[usageKey]*control.Usage{}
+}
+
+// most bounds on what one report may claim; a gateway is one process.
+const (
+	mostInterval = 120 * second
+	mostReqs     = 10_000_000
+)
+
+// report takes a report in: whole, or not at all.
+func (c *Core) report(r Report) {
+	g := c.speaker(r.Gateway, r.Conn)
+	if g == nil {
+		return
+	}
+	if r.Seq <= g.seq {
+		c.complain("report_repeated", g.name, "number %d came after %d: passed over", r.Seq, g.seq)
+		return
+	}
+	if err := c.sound(r); err != nil {
+		c.complain("report_bad", g.name, "%s: nothing of it is taken", err)
+		return
+	}
+	g.seq = r.Seq
+	if !g.joined {
+		return
+	}
+	for _, k := range r.Kinds {
+		kind := c.kinds[k.Kind]
+		u := c.sums.usage[usageKey{g.proxy, kind}]
+		if u == nil {
+			u = &control.Usage{Proxy: g.proxy, Kind: kind}
+			c.sums.usage[usageKey{g.proxy, kind}] = u
+		}
+		u.Reqs, u.Errored, u.Period = u.Reqs+k.Arrived, u.Errored+k.Errored, u.Period+r.Interval
+		for _, e := range k.Endpoints {
+			if _, known := c.list.entries[e.Backend]; !known || e.Tries == 0 {
+				continue // its standing table may name what we were never told of
+			}
+			key := heardKey{g.zone, e.Backend}
+			h := c.sums.heard[key]
+			if h == nil {
+				h = &heardSum{}
+				c.sums.heard[key] = h
+			}
+			h.tries, h.errored, h.period = h.tries+e.Tries, h.errored+e.Errored, max(h.period, r.Interval)
+			h.answer += float64(e.Tries-e.Errored) * float64(e.Answer)
+			if e.Loads != nil && e.Tries-e.Errored >= h.loadsOf { // of several, the one that more answers bear out
+				h.loads, h.loadsOf = e.Loads, e.Tries-e.Errored
+			}
+		}
+	}
+}
+
+// sound checks a report's figures.
+func (c *Core) sound(r Report) error {
+	if r.Interval <= 0 || r.Interval > mostInterval {
+		return fmt.Errorf("interval of %.1f s is not between 0 and 120 s", float64(r.Interval)/float64(second))
+	}
+	seen := map[string]bool{}
+	for _, k := range r.Kinds {
+		if _, known := c.kinds[k.Kind]; !known || seen[k.Kind] {
+			return fmt.Errorf("cluster %q is no request kind or stands twice", k.Kind)
+		}
+		seen[k.Kind] = true
+		for _, n := range []int{k.Arrived, k.Denied, k.Errored} {
+			if n < 0 || n > mostReqs {
+				return fmt.Errorf("cluster %q counts %d reqs", k.Kind, n)
+			}
+		}
+		for _, e := range k.Endpoints {
+			if e.Tries < 0 || e.Tries > mostReqs || e.Errored < 0 || e.Errored > e.Tries || e.Answer < 0 || e.Answer > mostInterval {
+				return fmt.Errorf("cluster %q, %s: %d tries, %d errored, mean answer %d us", k.Kind, e.Backend, e.Tries,
+					e.Errored, e.Answer)
+			}
+			for name, v := range e.Loads {
+				if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v > 1e9 {
+					return fmt.Errorf("cluster %q, %s: load %q is %v", k.Kind, e.Backend, name, v)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// flush tells the module what was reported since the last time, in one order whatever the order of the reports.
+func (c *Core) flush() (events []control.Event) {
+	keys := slices.SortedFunc(maps.Keys(c.sums.heard), func(a, b heardKey) int {
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.backend, b.backend))
+	})
+	for _, k := range keys {
+		h := c.sums.heard[k]
+		heard := control.Heard{Zone: k.zone, Backend: k.backend, Tries: h.tries, Errored: h.errored, Period: h.period, Loads: h.loads}
+		if done := h.tries - h.errored; done > 0 {
+			heard.Answer = micros(h.answer / float64(done))
+		}
+		events = append(events, heard)
+	}
+	users := slices.SortedFunc(maps.Keys(c.sums.usage), func(a, b usageKey) int {
+		return cmp.Or(cmp.Compare(a.proxy, b.proxy), cmp.Compare(a.kind, b.kind))
+	})
+	for _, k := range users {
+		events = append(events, *c.sums.usage[k])
+	}
+	c.sums.reset()
+	return events
+}
+
+// count holds back complaints of one sort: one record a period says how many there were.
+type count struct {
+	n    int
+	last Note
+	at   micros // of the last record
+}
+
+const complainEvery = 10 * second
+
+// complain notes something that should not be: the first at once, then one record a period with how many there were.
+func (c *Core) complain(event string, g Gateway, format string, args ...any) {
+	n := c.counts[event]
+	if n == nil {
+		n = &count{at: -complainEvery}
+		c.counts[event] = n
+	}
+	n.n++
+	n.last = Note{Level: Warn, Event: event, Text: fmt.Sprintf(format, args...), Gateway: g}
+}
+
+func (c *Core) tellCounts() {
+	for _, event := range slices.Sorted(maps.Keys(c.counts)) {
+		if n := c.counts[event]; n.n > 0 && (c.now-n.at >= complainEvery || n.at < 0) {
+			n.last.Count = n.n
+			c.out(n.last)
+			n.n, n.at = 0, c.now
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/status.go
@@ -0,0 +1,64 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+
+	"porthub/control"
+	"porthub/tables"
+)
+
+// GatewayStatus is how one gateway stands. Times are the core's, in microseconds.
+type GatewayStatus struct {
+	Gateway   Gateway         `json:"gateway"`
+	Zone      control.Zone    `json:"zone"`
+	Joined    bool            `json:"joined"`
+	Since     control.Micros  `json:"since_us"` // joined or, if it is away, last heard
+	Version   string          `json:"version"`  // last published
+	Confirmed [docs]string    `json:"confirmed"`
+	At        [docs]int64     `json:"confirmed_at_us"`
+	Waiting   int             `json:"waiting"` // messages not acknowledged
+	Lines     int             `json:"waiting_lines"`
+	Oldest    control.Micros  `json:"oldest_waiting_us"` // age of the first of them
+	Published int             `json:"published"`
+	Tables    []control.Table `json:"tables"` // by request kind
+	Snapshot  tables.Snapshot `json:"snapshot"`
+}
+
+// Status is how a coordinator stands.
+type Status struct {
+	Now      control.Micros  `json:"now_us"`
+	Steps    uint64          `json:"steps"`
+	Nodes    []control.Entry `json:"nodes"`
+	Gateways []GatewayStatus `json:"gateways"`
+}
+
+// Status tells how the core stands. It changes nothing.
+func (c *Core) Status() Status {
+	s := Status{Now: c.now, Steps: c.steps}
+	for _, b := range slices.Sorted(maps.Keys(c.list.entries)) {
+		s.Nodes = append(s.Nodes, c.list.entries[b])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.gateways)) {
+		g := c.gateways[name]
+		one := GatewayStatus{Gateway: name, Zone: g.zone, Joined: g.joined, Since: g.heardAt, Waiting: len(g.waiting),
+			Published: g.published, Tables: slices.Clone(g.binds), Snapshot: g.sent}
+		if g.joined {
+			one.Since = g.joinedAt
+		}
+		for d := range docs {
+			one.Confirmed[d], one.At[d] = g.confirmed[d].version, int64(g.confirmed[d].at)
+		}
+		for i, m := range g.waiting {
+			if one.Lines += m.lines; i == 0 {
+				one.Oldest = c.now - m.at
+			}
+			one.Version = m.version
+		}
+		if one.Version == "" {
+			one.Version = one.Confirmed[Endpoints]
+		}
+		s.Gateways = append(s.Gateways, one)
+	}
+	return s
+}
--- /dev/null
+++ b/daemon/clock.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"time"
+
+	"porthub/control"
+)
+
+// Clock gives the daemon its time, in microseconds since 1970.
+type Clock interface {
+	Now() control.Micros
+	// After sends once the length has passed.
+	After(d control.Micros) <-chan time.Time
+}
+
+// wallClock starts at the wall's time and then follows the monotonic clock, so that a wall clock that is set anew
+// moves nothing.
+type wallClock struct{ start time.Time }
+
+// NewClock is the machine's clock.
+func NewClock() Clock { return wallClock{time.Now()} }
+
+func (c wallClock) Now() control.Micros {
+	return control.Micros(c.start.UnixMicro() + time.Since(c.start).Microseconds())
+}
+
+func (c wallClock) After(d control.Micros) <-chan time.Time {
+	return time.After(time.Duration(d) * time.Microsecond)
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,322 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"go.uber.org/zap"
+
+	"porthub/config"
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/front/files"
+	"porthub/registry/file"
+)
+
+// Options are what a daemon is made of. Clock and Tap may be left out.
+type Options struct {
+	Config config.Config
+	Log    *zap.Logger
+	Clock  Clock
+	// Tap is called after each step, by the goroutine that owns the core: with the time, the inputs and the core.
+	Tap func(now control.Micros, inputs []coordinator.Input, core *coordinator.Core)
+}
+
+// Daemon is a running coordinator.
+type Daemon struct {
+	cfg   config.Config
+	log   *zap.Logger
+	clock Clock
+	tap   func(control.Micros, []coordinator.Input, *coordinator.Core)
+
+	core   *coordinator.Core
+	inbox  chan event
+	front  *files.Front
+	source *file.Source
+	probes *prober
+	server *server
+	saves  chan control.List
+}
+
+// event is what the loop takes in at a time.
+type event struct {
+	inputs []coordinator.Input
+	query  func(*coordinator.Core) []byte // instead of inputs: answered from the core's state
+	reply  func([]byte)                   // called after the step; what query returned, or nil
+}
+
+// inboxLength bounds what waits for the core; batchMost what it takes at a time.
+const (
+	inboxLength = 8192
+	batchMost   = 1024
+)
+
+// ErrEnvironment is a failure of the machine around the daemon: a port that is taken, a folder that can't be made.
+var ErrEnvironment = errors.New("environment")
+
+// New opens the daemon's folders and its listener. Addr tells where it listens.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: make(chan event, inboxLength),
+		saves: make(chan control.List, 1)}
+	if d.clock == nil {
+		d.clock = NewClock()
+	}
+	if d.log == nil {
+		d.log = zap.NewNop()
+	}
+	if d.cfg.StateDir != "" {
+		if err := os.MkdirAll(d.cfg.StateDir, 0o755); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
+		}
+	}
+	now := d.clock.Now()
+	d.core = coordinator.New(coordinator.Settings{Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
+		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter)})
+	front, err := files.Open(o.Config.Front.Files.Dir, o.Config.Front.Files.Writers, func(g coordinator.Gateway, err error) {
+		d.give(coordinator.Failed{Gateway: g, Why: err.Error()})
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	d.front = front
+	version := control.Version(0)
+	d.source = file.New(o.Config.Registry.File.Path, time.Duration(o.Config.Registry.File.Poll)*time.Microsecond,
+		func(entries []control.Entry, err error) {
+			version++
+			list := coordinator.List{List: control.List{Version: version, How: control.ListFull, Entries: entries}}
+			if err != nil {
+				list.How, list.Why = control.ListFailed, err.Error()
+			}
+			d.give(list)
+		})
+	d.probes = newProber(o.Config.Probes, func(p control.Probed) { d.give(coordinator.Probed{Probed: p}) })
+	if d.server, err = listen(d, o.Config.Listen); err != nil {
+		front.Close()
+		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
+	return d, nil
+}
+
+// Addr is the address that gateways and tools connect to.
+func (d *Daemon) Addr() string { return d.server.addr }
+
+// Front tells what the file front has written.
+func (d *Daemon) Front() files.Stats { return d.front.Stats() }
+
+// give puts inputs into the inbox and waits while it is full; for goroutines that may wait.
+func (d *Daemon) give(inputs ...coordinator.Input) { d.inbox <- event{inputs: inputs} }
+
+// offer puts an event into the inbox if there is room.
+func (d *Daemon) offer(e event) bool {
+	select {
+	case d.inbox <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run steps the core until the context ends. A panic of the core ends it with an error that says where the input
+// stood; gateways go on by their files.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.source.Run(ctx)
+	go d.keep(ctx)
+	defer d.close()
+	var inputs []coordinator.Input
+	defer func() {
+		if p := recover(); p != nil {
+			kinds := make([]string, len(inputs))
+			for i, in := range inputs {
+				kinds[i] = fmt.Sprintf("%T", in)
+			}
+			d.log.Error("core failed", zap.Any("panic", p), zap.Uint64("step", d.core.Steps()), zap.Strings("inputs", kinds),
+				zap.ByteString("stack", debug.Stack()))
+			err = fmt.Errorf("the core failed at step %d: %v", d.core.Steps(), p)
+		}
+	}()
+	d.log.Info("started", zap.String("listen", d.Addr()), zap.String("files", d.cfg.Front.Files.Dir))
+	inputs = d.saved()
+	d.step(inputs)
+	for {
+		wait := d.core.Next() - d.clock.Now()
+		var timer <-chan time.Time
+		if wait > 0 {
+			timer = d.clock.After(wait)
+		}
+		var events []event
+		if wait <= 0 {
+			select {
+			case e := <-d.inbox:
+				events = append(events, e)
+			case <-ctx.Done():
+				return nil
+			default:
+			}
+		} else {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-timer:
+			case e := <-d.inbox:
+				events = append(events, e)
+			}
+		}
+		for more := len(events) > 0; more && len(events) < batchMost; {
+			select {
+			case e := <-d.inbox:
+				events = append(events, e)
+			default:
+				more = false
+			}
+		}
+		inputs = inputs[:0]
+		for _, e := range events {
+			inputs = append(inputs, e.inputs...)
+		}
+		d.step(inputs)
+		for _, e := range events {
+			var answer []byte
+			if e.query != nil {
+				answer = e.query(d.core)
+			}
+			if e.reply != nil {
+				e.reply(answer)
+			}
+		}
+	}
+}
+
+// step hands inputs to the core and carries out what comes of it.
+func (d *Daemon) step(inputs []coordinator.Input) {
+	now := d.clock.Now()
+	for _, out := range d.core.Step(now, inputs) {
+		switch o := out.(type) {
+		case coordinator.Publish:
+			d.front.Publish(o)
+		case coordinator.Probe:
+			d.probes.probe(o.Backend)
+		case coordinator.Watch:
+			d.source.Watch(o.On)
+		case coordinator.Fetch:
+			d.source.Fetch()
+		case coordinator.Save:
+			d.save(o.List)
+		case coordinator.Drop:
+			d.server.drop(o.Conn)
+		case coordinator.Note:
+			d.record(o)
+		}
+	}
+	if d.tap != nil {
+		d.tap(now, inputs, d.core)
+	}
+}
+
+// record writes a note as one log record with its fields.
+func (d *Daemon) record(n coordinator.Note) {
+	fields := []zap.Field{zap.String("text", n.Text)}
+	if n.Gateway != "" {
+		fields = append(fields, zap.String("gateway", string(n.Gateway)))
+	}
+	if n.Backend != "" {
+		fields = append(fields, zap.String("node", string(n.Backend)))
+	}
+	if n.Count > 1 {
+		fields = append(fields, zap.Int("count", n.Count))
+	}
+	switch n.Level {
+	case coordinator.Warn:
+		d.log.Warn(n.Event, fields...)
+	case coordinator.Info:
+		d.log.Info(n.Event, fields...)
+	default:
+		d.log.Debug(n.Event, fields...)
+	}
+}
+
+func (d *Daemon) close() {
+	d.server.close()
+	d.probes.close()
+	// Nobody reads the inbox any more: writers that report a failure must not wait for it.
+	go func() {
+		for range d.inbox {
+		}
+	}()
+	d.front.Close()
+	d.log.Info("stopped", zap.Uint64("steps", d.core.Steps()))
+}
+
+// The list is kept for the next start, whole and renamed.
+
+const savedName = "list.json"
+
+type savedList struct {
+	Version control.Version `json:"version"`
+	Entries []control.Entry `json:"entries"`
+}
+
+func (d *Daemon) saved() []coordinator.Input {
+	if d.cfg.StateDir == "" {
+		return nil
+	}
+	path := filepath.Join(d.cfg.StateDir, savedName)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	var s savedList
+	if err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	if err != nil {
+		d.log.Warn("saved_list", zap.String("text", "can't be read: started without it"), zap.Error(err))
+		return nil
+	}
+	return []coordinator.Input{coordinator.List{List: control.List{Version: s.Version, How: control.ListSaved, Entries: s.Entries}}}
+}
+
+// save takes the place of a list that waits to be saved.
+func (d *Daemon) save(l control.List) {
+	for {
+		select {
+		case d.saves <- l:
+			return
+		default:
+		}
+		select {
+		case <-d.saves:
+		default:
+		}
+	}
+}
+
+func (d *Daemon) keep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-d.saves:
+			if d.cfg.StateDir == "" {
+				continue
+			}
+			text, err := json.Marshal(savedList{l.Version, l.Entries})
+			if err == nil {
+				err = renameio.WriteFile(filepath.Join(d.cfg.StateDir, savedName), text, 0o644, renameio.WithTempDir(d.cfg.StateDir))
+			}
+			if err != nil {
+				d.log.Warn("saved_list", zap.String("text", "can't be kept: the next start goes without it"), zap.Error(err))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/daemon/server.go
@@ -0,0 +1,347 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/puzpuzpuz/xsync/v4"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/xds"
+)
+
+// Bounds on what one peer may cost.
+const (
+	headMost   = 16 << 10        // bytes of a request's head
+	bodyMost   = 4 << 20         // bytes of its body: a report on a thousand nodes takes a tenth
+	unsentMost = 1 << 20         // answers that a peer has not taken
+	partWithin = 5 * time.Second // a request that has begun is whole within this
+	peersMost  = 30000
+)
+
+// server speaks HTTP/1.1 on gnet's event loops.
+type server struct {
+	gnet.BuiltinEventEngine
+	d       *Daemon
+	addr    string
+	engine  gnet.Engine
+	booted  chan struct{}
+	next    atomic.Uint64
+	peers   *xsync.Map[coordinator.Conn, *peer]
+	ended   chan error
+	refused atomic.Int64
+}
+
+// peer is one connection. Only its event loop touches it, but for out.
+type peer struct {
+	id      coordinator.Conn
+	out     gnet.Conn
+	gateway coordinator.Gateway // empty until it has named itself
+	partAt  time.Time           // when the request that is not whole yet began
+	waiting atomic.Bool         // a request is with the core
+}
+
+func listen(d *Daemon, addr string) (*server, error) {
+	s := &server{d: d, booted: make(chan struct{}), peers: xsync.NewMap[coordinator.Conn, *peer](), ended: make(chan error, 1)}
+	go func() {
+		s.ended <- gnet.Run(s, "tcp://"+addr, gnet.WithMulticore(true), gnet.WithTicker(true), gnet.WithReadBufferCap(64<<10),
+			gnet.WithLogger(zap.NewNop().Sugar()))
+	}()
+	select {
+	case <-s.booted:
+	case err := <-s.ended:
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	case <-time.After(10 * time.Second):
+		return nil, fmt.Errorf("listen on %s: not up after 10 s", addr)
+	}
+	if s.addr == "" {
+		return nil, fmt.Errorf("listen on %s: the bound address is not known", addr)
+	}
+	return s, nil
+}
+
+// OnBoot finds out which port was bound.
+func (s *server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	if fd, err := engine.Dup(); err == nil {
+		f := os.NewFile(uintptr(fd), "listener")
+		if l, err := net.FileListener(f); err == nil {
+			s.addr = l.Addr().String()
+			_ = l.Close()
+		}
+		_ = f.Close()
+	}
+	close(s.booted)
+	return gnet.None
+}
+
+// OnOpen takes a connection in.
+func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if s.peers.Size() >= peersMost {
+		return nil, gnet.Close
+	}
+	p := &peer{id: coordinator.Conn(s.next.Add(1)), out: c}
+	c.SetContext(p)
+	s.peers.Store(p.id, p)
+	return nil, gnet.None
+}
+
+// OnClose is a leave if the connection had a name. If the inbox is full the core finds the silence by itself.
+func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	p, is := c.Context().(*peer)
+	if !is {
+		return gnet.None
+	}
+	s.peers.Delete(p.id)
+	if p.gateway != "" {
+		s.d.offer(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
+	}
+	return gnet.None
+}
+
+// OnTick closes connections whose request has not become whole in time.
+func (s *server) OnTick() (time.Duration, gnet.Action) {
+	s.peers.Range(func(_ coordinator.Conn, p *peer) bool {
+		_ = p.out.Wake(nil) // its own loop looks at partAt
+		return true
+	})
+	return partWithin / 2, gnet.None
+}
+
+// OnTraffic takes whole requests from a connection, one at a time: the next one is read once the last is answered.
+func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
+	p, is := c.Context().(*peer)
+	if !is {
+		return gnet.Close
+	}
+	if c.OutboundBuffered() > unsentMost {
+		return gnet.Close // it takes no answers
+	}
+	for !p.waiting.Load() {
+		buf, err := c.Peek(-1)
+		if err != nil || len(buf) == 0 {
+			p.partAt = time.Time{}
+			return gnet.None
+		}
+		if p.partAt.IsZero() {
+			p.partAt = time.Now()
+		}
+		head := bytes.Index(buf, []byte("\r\n\r\n"))
+		if head < 0 {
+			if len(buf) > headMost {
+				return s.end(c, http.StatusRequestHeaderFieldsTooLarge, "the head is too large")
+			}
+			return s.patience(p)
+		}
+		req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(buf[:head+4])))
+		if err != nil {
+			return s.end(c, http.StatusBadRequest, "no HTTP/1.1 request: "+err.Error())
+		}
+		if len(req.TransferEncoding) > 0 || req.ContentLength < 0 {
+			return s.end(c, http.StatusLengthRequired, "a body needs its Content-Length")
+		}
+		if req.ContentLength > bodyMost {
+			return s.end(c, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body has %d bytes at most", bodyMost))
+		}
+		whole := head + 4 + int(req.ContentLength)
+		if len(buf) < whole {
+			return s.patience(p)
+		}
+		body := bytes.Clone(buf[head+4 : whole])
+		if _, err := c.Discard(whole); err != nil {
+			return gnet.Close
+		}
+		p.partAt = time.Time{}
+		s.serve(p, req, body)
+	}
+	if c.InboundBuffered() > headMost+bodyMost {
+		return gnet.Close // it sends on without waiting for answers
+	}
+	return gnet.None
+}
+
+func (s *server) patience(p *peer) gnet.Action {
+	if time.Since(p.partAt) > partWithin {
+		s.refused.Add(1)
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// end answers with an error and closes: what follows on the connection can't be told apart.
+func (s *server) end(c gnet.Conn, code int, why string) gnet.Action {
+	s.refused.Add(1)
+	_, _ = c.Write(response(code, "text/plain", []byte(why+"\n"), true))
+	return gnet.Close
+}
+
+func response(code int, kind string, body []byte, last bool) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", code, http.StatusText(code))
+	if code != http.StatusNotModified {
+		fmt.Fprintf(&b, "Content-Type: %s\r\nContent-Length: %d\r\n", kind, len(body))
+	}
+	if code == http.StatusServiceUnavailable {
+		b.WriteString("Retry-After: 1\r\n")
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	if code != http.StatusNotModified {
+		b.Write(body)
+	}
+	return b.Bytes()
+}
+
+// answer sends a response and lets the connection's next request be read.
+func (s *server) answer(p *peer, code int, kind string, body []byte) {
+	p.waiting.Store(false)
+	_ = p.out.AsyncWrite(response(code, kind, body, false), func(c gnet.Conn, err error) error {
+		if err == nil && c != nil && c.InboundBuffered() > 0 {
+			return c.Wake(nil)
+		}
+		return nil
+	})
+}
+
+const (
+	textType = "text/plain; charset=utf-8"
+	jsonType = "application/json"
+)
+
+// serve answers one request, at once or after the core has taken its input.
+func (s *server) serve(p *peer, req *http.Request, body []byte) {
+	p.waiting.Store(true)
+	fail := func(code int, why string) {
+		s.refused.Add(1)
+		s.answer(p, code, textType, []byte(why+"\n"))
+	}
+	read := func(m proto.Message) error {
+		if strings.HasPrefix(req.Header.Get("Content-Type"), "application/x-protobuf") {
+			if err := proto.Unmarshal(body, m); err != nil {
+				return fmt.Errorf("%w: %v", xds.ErrNotXDS, err)
+			}
+			return nil
+		}
+		return xds.Decode(body, m)
+	}
+	switch {
+	case req.Method == http.MethodPost && (req.URL.Path == xds.EndpointPath || req.URL.Path == xds.RoutePath):
+		m := &discoveryv3.DiscoveryRequest{}
+		err := read(m)
+		var node xds.Node
+		if err == nil {
+			node, err = xds.ReadNode(m.Node)
+		}
+		if err != nil {
+			fail(http.StatusBadRequest, err.Error())
+			return
+		}
+		doc := coordinator.Endpoints
+		if req.URL.Path == xds.RoutePath {
+			doc = coordinator.Routes
+		}
+		ack := coordinator.Ack{Gateway: coordinator.Gateway(node.Name), Conn: p.id, Doc: doc, Version: m.VersionInfo,
+			Nonce: m.ResponseNonce, Error: m.ErrorDetail.GetMessage()}
+		s.hand(p, node, ack, func([]byte) { s.answer(p, http.StatusNotModified, "", nil) }, fail)
+	case req.Method == http.MethodPost && req.URL.Path == xds.LoadPath:
+		m := &loadv3.LoadStatsRequest{}
+		err := read(m)
+		var report coordinator.Report
+		var node xds.Node
+		if err == nil {
+			node, report, err = readReport(m)
+		}
+		if err != nil {
+			fail(http.StatusBadRequest, err.Error())
+			return
+		}
+		report.Conn = p.id
+		text, err := xds.Encode(xds.Reporting(control.Micros(s.d.cfg.Reports.Period)))
+		if err != nil {
+			fail(http.StatusInternalServerError, err.Error())
+			return
+		}
+		s.hand(p, node, report, func([]byte) { s.answer(p, http.StatusOK, jsonType, text) }, fail)
+	case req.Method == http.MethodGet && req.URL.Path == "/tables":
+		if !s.d.offer(event{query: status, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+			fail(http.StatusServiceUnavailable, "busy")
+		}
+	default:
+		fail(http.StatusNotFound, fmt.Sprintf("nothing answers %s %s", req.Method, req.URL.Path))
+	}
+}
+
+func status(c *coordinator.Core) []byte {
+	text, err := json.Marshal(c.Status())
+	if err != nil {
+		return []byte(`{"error":` + fmt.Sprintf("%q", err.Error()) + `}`)
+	}
+	return text
+}
+
+// hand gives the core what a gateway said, after its join if these are the connection's first words. A connection
+// keeps the name it began with.
+func (s *server) hand(p *peer, node xds.Node, in coordinator.Input, done func([]byte), fail func(int, string)) {
+	name := coordinator.Gateway(node.Name)
+	if p.gateway != "" && p.gateway != name {
+		fail(http.StatusConflict, fmt.Sprintf("this connection is %s's", p.gateway))
+		return
+	}
+	var inputs []coordinator.Input
+	if p.gateway == "" {
+		inputs = append(inputs, coordinator.Join{Gateway: name, Conn: p.id, Zone: control.Zone(node.Zone), Standing: node.Standing,
+			Weight: node.Weight})
+	}
+	if !s.d.offer(event{inputs: append(inputs, in), reply: done}) {
+		fail(http.StatusServiceUnavailable, "busy")
+		return
+	}
+	p.gateway = name
+}
+
+func readReport(m *loadv3.LoadStatsRequest) (xds.Node, coordinator.Report, error) {
+	node, interval, kinds, err := xds.ReadLoad(m)
+	if err != nil {
+		return node, coordinator.Report{}, err
+	}
+	r := coordinator.Report{Gateway: coordinator.Gateway(node.Name), Seq: node.Report, Interval: control.Micros(interval.Microseconds())}
+	for _, k := range kinds {
+		kind := coordinator.KindReport{Kind: k.Name, Arrived: k.Arrived, Denied: k.Denied, Errored: k.Errored}
+		for _, e := range k.Endpoints {
+			kind.Endpoints = append(kind.Endpoints, coordinator.EndpointReport{Backend: control.Backend(e.Backend), Tries: e.Tries,
+				Errored: e.Errored, Active: e.Active, Answer: control.Micros(e.Answer.Microseconds()), Loads: loads(e.Loads)})
+		}
+		r.Kinds = append(r.Kinds, kind)
+	}
+	return node, r, nil
+}
+
+// drop closes a connection.
+func (s *server) drop(id coordinator.Conn) {
+	if p, has := s.peers.Load(id); has {
+		_ = p.out.Close()
+	}
+}
+
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+	defer cancel()
+	_ = s.engine.Stop(ctx)
+}
--- /dev/null
+++ b/tables/tables.go
@@ -0,0 +1,125 @@
+// Package tables says what a gateway holds: for each request kind a cluster of weighted lines and a route that tells
+// how much is let in and when to try again. It is pure: values in, values out.
+package tables
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"porthub/control"
+)
+
+// Line is one backend in a cluster. Weight is relative to the other lines of its cluster, without a unit, above 0.
+type Line struct {
+	Backend  control.Backend `json:"backend"`
+	Zone     control.Zone    `json:"zone"`
+	Weight   float64         `json:"weight"`
+	Withheld bool            `json:"withheld,omitempty"` // listed, but nothing new may be sent there
+}
+
+// Cluster is all lines of one request kind, by zone and backend.
+type Cluster struct {
+	Kind  string `json:"kind"`
+	Lines []Line `json:"lines"`
+}
+
+// Route tells what a gateway does with reqs of one kind.
+type Route struct {
+	Kind string `json:"kind"`
+	// Rate is reqs a second let in at this gateway; 0 lets nothing in, below 0 sets no limit.
+	Rate float64 `json:"rate"`
+	// Share is the part let in, 0 to 1; 1 lets all in. Only one of Rate and Share is in use at a site.
+	Share float64 `json:"share"`
+	// SecondTry is the order for second tries as control.Admit has it, 0 to 3.
+	SecondTry int            `json:"second_try"`
+	Timeout   control.Micros `json:"timeout_us"` // of all tries together
+}
+
+// Snapshot is all that one gateway is given. Its clusters and routes are in the order of the request kinds.
+type Snapshot struct {
+	Clusters []Cluster `json:"clusters"`
+	Routes   []Route   `json:"routes"`
+}
+
+// Unlimited is a level that turns nothing away.
+const Unlimited = -1
+
+// Sort puts a cluster's lines into their one order: by zone, then by backend.
+func (c *Cluster) Sort() {
+	slices.SortFunc(c.Lines, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Backend, b.Backend))
+	})
+}
+
+// Equal tells whether two clusters are the same to the letter; both are sorted.
+func (c Cluster) Equal(o Cluster) bool { return c.Kind == o.Kind && slices.Equal(c.Lines, o.Lines) }
+
+// SameClusters tells whether two snapshots have the same clusters.
+func (s Snapshot) SameClusters(o Snapshot) bool {
+	return slices.EqualFunc(s.Clusters, o.Clusters, Cluster.Equal)
+}
+
+// SameRoutes tells whether two snapshots have the same routes.
+func (s Snapshot) SameRoutes(o Snapshot) bool { return slices.Equal(s.Routes, o.Routes) }
+
+// Open counts the lines of a kind to which something may be sent.
+func (s Snapshot) Open(kind string) (n int) {
+	for _, c := range s.Clusters {
+		for _, l := range c.Lines {
+			if c.Kind == kind && !l.Withheld && l.Weight > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Cost is how many lines differ between two snapshots: set anew, changed or gone, routes counted as a line each. It
+// is what a message that brings a gateway from the one to the other holds besides its head.
+func Cost(from, to Snapshot) (lines int) {
+	type at struct {
+		kind    string
+		backend control.Backend
+	}
+	held := map[at]Line{}
+	for _, c := range from.Clusters {
+		for _, l := range c.Lines {
+			held[at{c.Kind, l.Backend}] = l
+		}
+	}
+	for _, c := range to.Clusters {
+		for _, l := range c.Lines {
+			key := at{c.Kind, l.Backend}
+			if old, has := held[key]; !has || old != l {
+				lines++
+			}
+			delete(held, key)
+		}
+	}
+	routes := map[string]Route{}
+	for _, r := range from.Routes {
+		routes[r.Kind] = r
+	}
+	for _, r := range to.Routes {
+		if old, has := routes[r.Kind]; !has || old != r {
+			lines++
+		}
+		delete(routes, r.Kind)
+	}
+	return lines + len(held) + len(routes)
+}
+
+// Build makes a cluster of a table's weights; what masked names is withheld. Backends that zone does not know are
+// left out: nobody can tell where they are.
+func Build(kind string, weights map[control.Backend]float64, zone func(control.Backend) (control.Zone, bool),
+	masked func(control.Backend) bool) Cluster {
+	c := Cluster{Kind: kind}
+	for _, b := range slices.Sorted(maps.Keys(weights)) {
+		if z, known := zone(b); known && weights[b] > 0 {
+			c.Lines = append(c.Lines, Line{Backend: b, Zone: z, Weight: weights[b], Withheld: masked(b)})
+		}
+	}
+	c.Sort()
+	return c
+}
