--- /dev/null
+++ b/cmd/porthub/drill.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"porthub/audit"
+	"porthub/daemon"
+	"porthub/drill"
+)
+
+func drillCommand() *cobra.Command {
+	var (
+		seed         uint64
+		seconds      int
+		front, rule  string
+		asJSON, list bool
+		baselines    bool
+		keep         string
+	)
+	cmd := &cobra.Command{
+		Use:   "drill [SCENARIO]",
+		Short: "Stage a bad day on loopback and judge the five rules from the sockets",
+		Long: `drill runs stand-in calc nodes, gateways and clients in this process and a coordinator in a process of its own, lets
+the scenario's troubles strike, and judges the rules from what passed over the sockets. SCENARIO is a built-in one
+(--list), only:TROUBLE for one trouble alone, or a file. Without one it is the bad day.`,
+		Example: `  porthub drill
+  porthub drill --seed 7 --json
+  porthub drill only:zone_loss
+  porthub drill --break-rule drain   # must exit 1 and name that rule`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if list {
+				names, about := drill.List()
+				w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+				for i, n := range names {
+					fmt.Fprintf(w, "%s\t%s\n", n, about[i])
+				}
+				for _, t := range drill.Troubles() {
+					fmt.Fprintf(w, "only:%s\t%s\n", t, drill.About(t))
+				}
+				return w.Flush()
+			}
+			name := "bad-day"
+			if len(args) > 0 {
+				name = args[0]
+			}
+			s, err := drill.Load(name)
+			if err != nil {
+				return err
+			}
+			if front != "files" {
+				return fmt.Errorf("--front %q: only files exists so far", front)
+			}
+			if rule != "" && !slices.Contains(audit.Rules, rule) {
+				return fmt.Errorf("--break-rule %q: it must be one of %v", rule, audit.Rules)
+			}
+			if seconds > 0 {
+				s.Seconds = seconds
+			}
+			exe, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
+			}
+			o := drill.Options{Seed: seed, Exe: []string{exe}, Front: front, BreakRule: rule, Baselines: baselines, Dir: keep}
+			if !asJSON {
+				o.Progress = cmd.ErrOrStderr()
+			}
+			r, err := drill.Run(s, o)
+			if err != nil {
+				return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
+			}
+			if asJSON {
+				e := json.NewEncoder(cmd.OutOrStdout())
+				e.SetIndent("", "  ")
+				err = e.Encode(r)
+			} else {
+				err = printDrill(cmd.OutOrStdout(), s, r)
+			}
+			if err == nil && !r.Held() {
+				return errNotHeld
+			}
+			return err
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
+	cmd.Flags().IntVar(&seconds, "seconds", 0, "length; 0: the scenario's own")
+	cmd.Flags().StringVar(&front, "front", "files", "how tables reach gateways: files")
+	cmd.Flags().StringVar(&rule, "break-rule", "", "spoil one thing on the way so that this rule must be found broken")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	cmd.Flags().BoolVar(&list, "list", false, "list scenarios and troubles")
+	cmd.Flags().BoolVar(&baselines, "baselines", true, "run the baselines beside it, same seed")
+	cmd.Flags().StringVar(&keep, "keep", "", "use this folder and leave files and logs there")
+	return cmd
+}
+
+func printDrill(out io.Writer, s drill.Scenario, r drill.Result) error {
+	fmt.Fprintf(out, "%s, seed %d: %d reqs in %d s, service %.3f, worst 10 s %.3f\n\n", r.Scenario, r.Seed, r.Requests, s.Seconds, r.Service, r.Worst10s)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprint(w, "service")
+	for _, z := range s.Zones {
+		fmt.Fprintf(w, "\t%s", z)
+	}
+	fmt.Fprintln(w)
+	for _, k := range s.Kinds {
+		fmt.Fprint(w, k.Name)
+		for _, z := range s.Zones {
+			fmt.Fprintf(w, "\t%.3f", r.Cells[k.Name+"@"+z])
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintln(w, "\nrule\tkept\tnearest\twhere")
+	for _, rule := range audit.Rules {
+		v := r.Rules[rule]
+		fmt.Fprintf(w, "%s\t%v\t%.0f%%\t%s\n", rule, v.Kept, 100*v.Nearest, v.Where)
+	}
+	if len(r.Baselines) > 0 {
+		fmt.Fprintln(w, "\nbaseline\tservice\tworst 10 s\tbroke")
+		for _, name := range sortedNames(r.Baselines) {
+			b := r.Baselines[name]
+			var broke []string
+			for _, rule := range audit.Rules {
+				if !b.Rules[rule].Kept {
+					broke = append(broke, rule)
+				}
+			}
+			fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%v\n", name, b.Service, b.Worst10s, broke)
+		}
+	}
+	fmt.Fprintln(w, "\ncheck\tok\tfigure")
+	for _, c := range r.Checks {
+		fmt.Fprintf(w, "%s\t%v\t%.3f\n", c.Name, c.OK, c.Figure)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\nfile to effect p50 %.1f ms, p99 %.1f ms; answers p50 %.0f ms, p99 %.0f ms; %d files read whole, %d not; coordinator CPU %.2f s, peak %d MiB, stopped in %.0f ms\n",
+		r.Latency.P50, r.Latency.P99, r.Answers.P50, r.Answers.P99, r.Reads, r.Partial, r.CPU, r.PeakKiB/1024, r.StopMs)
+	return nil
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"porthub/control"
 )
@@ -191,6 +192,17 @@
 	return cfg, nil
 }
 
+// Decode reads any text of this form into a struct whose fields have json tags; the error is Findings. Keys that are
+// not known, stand twice or have the wrong type are named by line; the struct's own values are the defaults.
+func Decode(file string, text []byte, into any) error {
+	d := decoder{file: file, text: text, lines: map[string]int{}}
+	d.document(into)
+	if len(d.found) > 0 {
+		return Findings(d.found)
+	}
+	return nil
+}
+
 // check looks for values out of range and for contradictions.
 func (d *decoder) check(c Config) {
 	need := func(ok bool, key, wrong, right string) {
@@ -316,3 +328,8 @@
 
 // LoadNames turns the load figures' names in answers into those that the module knows.
 var LoadNames = map[string]string{"util": "busy", "queue": "q", "qps": "rate"}
+
+// MarshalJSON writes a length of time as the file has it.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + (time.Duration(d) * time.Microsecond).String() + `"`), nil
+}
--- /dev/null
+++ b/drill/fleet.go
@@ -0,0 +1,270 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"porthub/audit"
+	"porthub/standin"
+)
+
+// mode is how a fleet's gateways get their tables.
+type mode string
+
+const (
+	byCoordinator mode = "porthub"
+	standingOnly  mode = "standing tables only"
+	oneTable      mode = "one table of all nodes"
+)
+
+// fleet is one set of stand-ins in one world.
+type fleet struct {
+	s     Scenario
+	mode  mode
+	dir   string
+	world *standin.World
+	log   *audit.Log
+	tally *standin.Tally
+	reqs  atomic.Uint64
+
+	nodes    []*standin.Node
+	gateways []*standin.Gateway
+	weights  []float64 // of the gateways, mean 1
+	clients  []*standin.Client
+	rng      *rand.Rand
+	struck   [][]int // gateways that trouble i strikes, where it strikes some
+
+	mu     sync.Mutex
+	listed map[string]*entry
+	frozen bool // the list's source is broken
+	coord  *coordinatorProcess
+	pauses sync.WaitGroup
+	ended  chan struct{}
+}
+
+// entry is what the list says of a node.
+type entry struct {
+	node     *standin.Node
+	state    audit.ListState
+	launched time.Duration
+}
+
+func limits(s Scenario) audit.Limits {
+	r := s.Rules
+	l := audit.Limits{EmptyFor: duration(r.EmptyFor), DrainGrace: duration(r.DrainGrace), Cold: duration(r.Cold), ColdFrom: r.ColdFrom,
+		ColdMultiple: r.ColdMultiple, ColdWindow: duration(r.ColdWindow), GoneBinds: r.GoneBinds, WaitingLines: r.WaitingLines,
+		Envelope: 6, Messages: r.Messages, MessagesIn: duration(r.MessagesIn)}
+	for _, k := range s.Kinds {
+		l.Kinds = append(l.Kinds, audit.Kind{Name: k.Name, Repeats: k.Repeat == "replayable"})
+	}
+	return l
+}
+
+func newFleet(s Scenario, m mode, dir string, seed uint64) (*fleet, error) {
+	log := audit.NewLog(limits(s))
+	f := &fleet{s: s, mode: m, dir: dir, log: log, tally: standin.NewTally(), listed: map[string]*entry{}, ended: make(chan struct{})}
+	f.world = standin.NewWorld(log, standin.Rules{Cold: duration(s.Rules.Cold), ColdFrom: s.Rules.ColdFrom,
+		ColdMultiple: s.Rules.ColdMultiple, ColdWindow: duration(s.Rules.ColdWindow)}, seed)
+	f.rng = f.world.Rand("fleet")
+	for i := range s.Nodes {
+		n, err := standin.NewNode(f.world, standin.NodeOptions{Name: fmt.Sprintf("node-%d", i), Zone: s.Zones[i%len(s.Zones)], Machine: "std",
+			Pod: i / 3, Weight: float64(s.Cores), Cores: s.Cores, Queue: s.Queue, Conns: s.Conns})
+		if err != nil {
+			return nil, err
+		}
+		f.nodes = append(f.nodes, n)
+		f.listed[n.Addr] = &entry{node: n, state: audit.Ready, launched: -time.Hour}
+	}
+	total := 0.0
+	for range s.Gateways {
+		w := math.Exp(s.Spread*f.rng.NormFloat64() - s.Spread*s.Spread/2)
+		f.weights = append(f.weights, w)
+		total += w
+	}
+	var kinds []string
+	for _, k := range s.Kinds {
+		kinds = append(kinds, k.Name)
+	}
+	for i := range s.Gateways {
+		f.weights[i] *= float64(s.Gateways) / total
+		o := standin.GatewayOptions{Name: fmt.Sprintf("gw-%d", i), Zone: s.Zones[i%len(s.Zones)], Kinds: kinds, FrontDir: filepath.Join(dir, "tables"),
+			List: f.entries, Standing: 6, ShunAfter: 5, ShunFor: 5 * time.Second, Period: duration(s.Period), Weight: f.rate(i),
+			Everyone: m == oneTable, ReadChunk: s.Chunk, ReadPause: time.Millisecond}
+		if m == byCoordinator {
+			o.Coordinator = f.address
+		}
+		f.gateways = append(f.gateways, standin.NewGateway(f.world, o))
+	}
+	for i := range s.Troubles {
+		f.struck = append(f.struck, f.chooseGateways(s.Troubles[i], f.world.Rand(fmt.Sprint("struck ", i))))
+	}
+	return f, nil
+}
+
+// rate is a gateway's usual reqs a second.
+func (f *fleet) rate(i int) float64 { return f.weights[i] * f.s.Reqs / float64(f.s.Gateways) }
+
+// start opens the gateways; clients begin with run.
+func (f *fleet) start() error {
+	if err := f.writeList(); err != nil {
+		return err
+	}
+	for _, g := range f.gateways {
+		if err := g.Start(); err != nil {
+			return err
+		}
+	}
+	for i, g := range f.gateways {
+		c := standin.ClientOptions{Name: g.Name, Gateway: g, Rate: f.rate(i), Retries: f.s.Retries, TryShare: 0.7, Backoff: 50 * time.Millisecond,
+			Factor: func(at time.Duration) float64 { return f.factor(i, at) }, Dear: f.dear}
+		for at := time.Duration(0); at < f.length(); at += 100 * time.Millisecond {
+			c.Most = max(c.Most, f.factor(i, at))
+		}
+		for _, k := range f.s.Kinds {
+			c.Kinds = append(c.Kinds, standin.Kind{Name: k.Name, Share: k.Share, Work: duration(k.Work), ResponseTarget: duration(k.ResponseTarget),
+				ClientTimeout: duration(k.ClientTimeout), Payoff: k.Payoff, LatePayoff: 0.15, Replayable: k.Repeat == "replayable"})
+		}
+		f.clients = append(f.clients, standin.NewClient(f.world, c, f.tally, &f.reqs))
+	}
+	return nil
+}
+
+func (f *fleet) length() time.Duration { return time.Duration(f.s.Seconds) * time.Second }
+
+// run lets clients ask and troubles strike until the end.
+func (f *fleet) run() {
+	var all sync.WaitGroup
+	for i, t := range f.s.Troubles {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.sleepUntil(duration(t.At))
+			troubles[t.What].strike(f, t, f.world.Rand(fmt.Sprint("trouble ", i)), f.struck[i])
+		}()
+	}
+	var asking sync.WaitGroup
+	for _, c := range f.clients {
+		asking.Add(1)
+		go func() { defer asking.Done(); c.Run(f.length()) }()
+	}
+	asking.Wait()
+	close(f.ended)
+	all.Wait()
+}
+
+// stop ends gateways and nodes.
+func (f *fleet) stop() {
+	for _, g := range f.gateways {
+		g.Kill()
+	}
+	for _, n := range f.nodes {
+		n.Kill()
+	}
+}
+
+// sleep waits for a length of time or the end of the run; it tells whether the run goes on.
+func (f *fleet) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-f.ended:
+		return false
+	}
+}
+
+func (f *fleet) sleepUntil(at time.Duration) bool { return f.sleep(at - f.world.Now()) }
+
+func (f *fleet) address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.coord == nil {
+		return ""
+	}
+	return f.coord.addr
+}
+
+// entries is the list as it stands.
+func (f *fleet) entries() []standin.ListEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []standin.ListEntry
+	for _, n := range f.nodes {
+		if e := f.listed[n.Addr]; e.state != audit.Absent {
+			out = append(out, standin.ListEntry{Addr: n.Addr, Zone: n.Zone, Weight: n.Weight, Draining: e.state == audit.Draining})
+		}
+	}
+	return out
+}
+
+// tellList changes what the list says of a node, late as lists are.
+func (f *fleet) tellList(n *standin.Node, state audit.ListState, after time.Duration) {
+	_, launched := n.Up()
+	f.pauses.Add(1)
+	time.AfterFunc(after, func() {
+		defer f.pauses.Done()
+		f.mu.Lock()
+		e := f.listed[n.Addr]
+		e.state, e.launched = state, launched
+		f.mu.Unlock()
+		_ = f.writeList()
+		if f.mode == oneTable {
+			for _, g := range f.gateways {
+				g.Relist()
+			}
+		}
+	})
+}
+
+// writeList writes the node list in file_sd form, whole and renamed, and tells the audit.
+func (f *fleet) writeList() error {
+	type group struct {
+		Targets []string          `json:"targets"`
+		Labels  map[string]string `json:"labels"`
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.frozen {
+		return nil
+	}
+	var groups []group
+	states, launched, zones := map[string]audit.ListState{}, map[string]time.Duration{}, map[string]string{}
+	for _, n := range f.nodes {
+		e := f.listed[n.Addr]
+		if states[n.Addr], launched[n.Addr], zones[n.Addr] = e.state, e.launched, n.Zone; e.state == audit.Absent {
+			continue
+		}
+		labels := map[string]string{"zone": n.Zone, "machine": n.Machine, "pod": strconv.Itoa(n.Pod),
+			"weight": strconv.FormatFloat(n.Weight, 'g', -1, 64), "launched": "0"}
+		if e.state == audit.Draining {
+			labels["status"] = "draining"
+		}
+		if e.launched >= 0 {
+			labels["launched"] = strconv.FormatInt(f.world.Start.Add(e.launched).UnixMicro(), 10)
+		}
+		groups = append(groups, group{[]string{n.Addr}, labels})
+	}
+	text, err := json.Marshal(groups)
+	if err != nil {
+		return err
+	}
+	if groups == nil {
+		text = []byte("[]")
+	}
+	path := filepath.Join(f.dir, "nodes.json")
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return err
+	}
+	f.log.List(f.world.Now(), states, launched, zones)
+	return nil
+}
--- /dev/null
+++ b/drill/process.go
@@ -0,0 +1,104 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"porthub/config"
+)
+
+// coordinatorProcess is a coordinator in a process of its own.
+type coordinatorProcess struct {
+	f    *fleet
+	cfg  config.Config
+	exe  []string // the command, to which serve's arguments are added
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	addr string
+	cpu  time.Duration // of ended processes
+	peak int64         // largest resident set, KiB
+	logs *os.File
+	err  error
+}
+
+// document is the configuration as a file has it: durations with their unit.
+func document(c config.Config) ([]byte, error) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	return text, nil
+}
+
+// start runs the process and waits until it listens. The port of the first start stays.
+func (p *coordinatorProcess) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text, err := document(p.cfg)
+	if err != nil {
+		return err
+	}
+	path, addrFile := filepath.Join(p.f.dir, "porthub.json"), filepath.Join(p.f.dir, "addr")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return err
+	}
+	_ = os.Remove(addrFile)
+	cmd := exec.Command(p.exe[0], append(p.exe[1:], "serve", "-c", path, "--addr-file", addrFile)...)
+	cmd.Stdout, cmd.Stderr = p.logs, p.logs
+	cmd.Env = append(os.Environ(), "PORTHUB_DRILL=1")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // never left behind
+	began := p.f.world.Now()
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	for end := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if addr, err := os.ReadFile(addrFile); err == nil && strings.Contains(string(addr), ":") {
+			p.f.log.Coordinator(began, true)
+			p.f.mu.Lock()
+			p.addr, p.cfg.Listen = string(addr), string(addr)
+			p.f.mu.Unlock()
+			return nil
+		}
+		if time.Now().After(end) {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+			p.cmd = nil
+			return fmt.Errorf("the coordinator is not up after 15 s: see %s", p.logs.Name())
+		}
+	}
+}
+
+// kill ends the process outright.
+func (p *coordinatorProcess) kill() { p.end(syscall.SIGKILL) }
+
+// end ends the process by a signal and returns how long it took.
+func (p *coordinatorProcess) end(s syscall.Signal) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	began := time.Now()
+	_ = p.cmd.Process.Signal(s)
+	if s == syscall.SIGKILL {
+		p.f.log.Coordinator(p.f.world.Now(), false)
+	}
+	_ = p.cmd.Wait()
+	p.f.log.Coordinator(p.f.world.Now(), false)
+	if state := p.cmd.ProcessState; state != nil {
+		p.cpu += state.UserTime() + state.SystemTime()
+		if usage, is := state.SysUsage().(*syscall.Rusage); is {
+			p.peak = max(p.peak, usage.Maxrss)
+		}
+	}
+	p.cmd = nil
+	return time.Since(began)
+}
--- /dev/null
+++ b/drill/run.go
@@ -0,0 +1,355 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"porthub/audit"
+	"porthub/client"
+	"porthub/standin"
+	"porthub/tables"
+)
+
+// Options are how a drill is run.
+type Options struct {
+	Seed      uint64
+	Exe       []string // the command that serves, usually porthub itself
+	Front     string   // files
+	BreakRule string
+	Baselines bool
+	Progress  io.Writer // a line a second; nil: none
+	Dir       string    // kept if given; else a folder of its own, removed at the end
+}
+
+// Result is what came of a drill.
+type Result struct {
+	Scenario  string                   `json:"scenario"`
+	Seed      uint64                   `json:"seed"`
+	Requests  int                      `json:"requests"`
+	Service   float64                  `json:"service"`
+	Worst10s  float64                  `json:"worst_10s"`
+	Rules     map[string]audit.Verdict `json:"rules"`
+	Latency   Latency                  `json:"latency_ms"` // from a file's writing to its taking effect
+	Answers   Latency                  `json:"answers_ms"` // of what was answered, retries included
+	Reads     int                      `json:"reads"`
+	Partial   int                      `json:"partial_reads"`
+	Written   Written                  `json:"written"`
+	CPU       float64                  `json:"cpu_s"` // of the coordinator's processes
+	PeakKiB   int64                    `json:"peak_kib"`
+	StopMs    float64                  `json:"stop_ms"` // from SIGTERM to the end
+	Baselines map[string]Baseline      `json:"baselines"`
+	Checks    []Outcome                `json:"checks"`
+	Cells     map[string]float64       `json:"cells"` // service by kind@zone
+}
+
+// Latency is in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Written is what the file front wrote, by the files that gateways read.
+type Written struct {
+	Messages int   `json:"messages"`
+	Bytes    int64 `json:"bytes"`
+}
+
+// Baseline is how another way of filling tables fared on the same seed.
+type Baseline struct {
+	Service  float64                  `json:"service"`
+	Worst10s float64                  `json:"worst_10s"`
+	Rules    map[string]audit.Verdict `json:"rules"`
+}
+
+// Outcome is how a check came out.
+type Outcome struct {
+	Name   string  `json:"name"`
+	OK     bool    `json:"ok"`
+	Figure float64 `json:"figure"`
+}
+
+// Held tells whether all rules were kept and all checks are ok.
+func (r Result) Held() bool {
+	for _, v := range r.Rules {
+		if !v.Kept {
+			return false
+		}
+	}
+	for _, c := range r.Checks {
+		if !c.OK {
+			return false
+		}
+	}
+	return true
+}
+
+// Run stages a scenario. An error is the machine's; what broke stands in the result.
+func Run(s Scenario, o Options) (Result, error) {
+	res := Result{Scenario: s.Name, Seed: o.Seed, Baselines: map[string]Baseline{}, Cells: map[string]float64{}}
+	dir := o.Dir
+	if dir == "" {
+		made, err := os.MkdirTemp("", "porthub-drill-")
+		if err != nil {
+			return res, err
+		}
+		defer os.RemoveAll(made)
+		dir = made
+	}
+	modes := []mode{byCoordinator}
+	if o.Baselines {
+		modes = append(modes, standingOnly, oneTable)
+	}
+	var fleets []*fleet
+	for i, m := range modes {
+		at := filepath.Join(dir, fmt.Sprintf("fleet-%d", i))
+		if err := os.MkdirAll(at, 0o755); err != nil {
+			return res, err
+		}
+		f, err := newFleet(s, m, at, o.Seed)
+		if err != nil {
+			return res, err
+		}
+		defer f.stop()
+		fleets = append(fleets, f)
+	}
+	main := fleets[0]
+	if err := main.writeList(); err != nil {
+		return res, err
+	}
+	logs, err := os.Create(filepath.Join(dir, "coordinator.log"))
+	if err != nil {
+		return res, err
+	}
+	defer logs.Close()
+	coord := &coordinatorProcess{f: main, cfg: s.Config(main.dir, "127.0.0.1:0", o.Seed), exe: o.Exe, logs: logs}
+	main.coord = coord
+	spoiler(main, o.BreakRule)
+	if err := coord.start(); err != nil {
+		return res, err
+	}
+	defer coord.kill()
+	for _, f := range fleets {
+		if err := f.start(); err != nil {
+			return res, err
+		}
+	}
+	done := make(chan struct{})
+	go progress(main, o.Progress, done)
+	var all sync.WaitGroup
+	for _, f := range fleets {
+		all.Add(1)
+		go func() { defer all.Done(); f.run() }()
+	}
+	all.Wait()
+	close(done)
+	end := main.world.Now()
+	res.Written = written(coord, main)
+	res.Rules = main.log.Judge(end)
+	res.StopMs = float64(coord.end(syscall.SIGTERM).Microseconds()) / 1000
+	res.CPU, res.PeakKiB = coord.cpu.Seconds(), coord.peak
+	cells, sum := main.tally.Sums()
+	res.Requests, res.Service, res.Worst10s = sum.Reqs, sum.Service(), main.tally.Worst(10)
+	for c, s := range cells {
+		res.Cells[c.Kind+"@"+c.Zone] = s.Service()
+	}
+	orders, answers := main.log.Orders(), main.tally.Answers()
+	res.Latency = Latency{float64(orders.ValueAtQuantile(50)) / 1000, float64(orders.ValueAtQuantile(99)) / 1000}
+	res.Answers = Latency{float64(answers.ValueAtQuantile(50)) / 1000, float64(answers.ValueAtQuantile(99)) / 1000}
+	res.Reads, res.Partial = main.log.Reads()
+	for _, f := range fleets[1:] {
+		_, sum := f.tally.Sums()
+		res.Baselines[string(f.mode)] = Baseline{sum.Service(), f.tally.Worst(10), f.log.Judge(f.world.Now())}
+	}
+	res.Checks = checks(s, res, cells)
+	return res, nil
+}
+
+// written asks the coordinator how many messages it has sent, and sizes the files as they stand.
+func written(c *coordinatorProcess, f *fleet) (w Written) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if s, err := client.Status(ctx, f.address()); err == nil {
+		for _, g := range s.Gateways {
+			w.Messages += g.Published
+		}
+	}
+	_ = c
+	paths, _ := filepath.Glob(filepath.Join(f.dir, "tables", "*", "*.json"))
+	for _, p := range paths {
+		if info, err := os.Stat(p); err == nil {
+			w.Bytes += info.Size()
+		}
+	}
+	return w
+}
+
+func checks(s Scenario, r Result, cells map[standin.Cell]standin.Sum) (out []Outcome) {
+	all := append([]Check{{Name: "partial_reads"}}, s.Checks...)
+	for _, c := range all {
+		o := Outcome{Name: c.Name}
+		switch kind, byKind := strings.CutPrefix(c.Name, "kind:"); {
+		case byKind:
+			var asked, got float64
+			for cell, sum := range cells {
+				if cell.Kind == kind {
+					asked, got = asked+sum.Asked, got+sum.Got
+				}
+			}
+			o.Figure = got / max(asked, 1e-9)
+		case c.Name == "service":
+			o.Figure = r.Service
+		case c.Name == "worst_10s":
+			o.Figure = r.Worst10s
+		case c.Name == "partial_reads":
+			o.Figure = float64(r.Partial)
+		case c.Name == "orders_p99_ms":
+			o.Figure = r.Latency.P99
+		case c.Name == "stop_ms":
+			o.Figure = r.StopMs
+		case c.Name == "over_standing":
+			b, has := r.Baselines[string(standingOnly)]
+			if !has {
+				continue
+			}
+			o.Figure = r.Service - b.Service
+		}
+		o.OK = o.Figure >= c.AtLeast && (c.AtMost == 0 && c.AtLeast > 0 || o.Figure <= c.AtMost)
+		out = append(out, o)
+	}
+	return out
+}
+
+func progress(f *fleet, w io.Writer, done chan struct{}) {
+	if w == nil {
+		return
+	}
+	for {
+		select {
+		case <-done:
+			fmt.Fprintln(w)
+			return
+		case <-time.After(time.Second):
+		}
+		now, up := f.world.Now(), 0
+		for _, n := range f.nodes {
+			if on, _ := n.Up(); on {
+				up++
+			}
+		}
+		var going []string
+		for _, t := range f.s.Troubles {
+			if now >= duration(t.At) && now < duration(t.At+t.For) {
+				going = append(going, t.What)
+			}
+		}
+		_, sum := f.tally.Sums()
+		fmt.Fprintf(w, "\r%3.0f of %d s  %6d reqs  service %.3f  nodes up %d of %d  %-50s", now.Seconds(), f.s.Seconds, sum.Reqs, sum.Service(),
+			up, len(f.nodes), strings.Join(going, " "))
+	}
+}
+
+// spoiler spoils one thing on the way so that the audit must find that rule broken.
+func spoiler(f *fleet, rule string) {
+	half := f.length() / 3
+	switch rule {
+	case audit.Bare: // one gateway loses all lines of a kind on the way
+		f.gateways[0].Spoil = func(s *tables.Snapshot) {
+			if f.world.Now() > half/2 {
+				s.Clusters = append([]tables.Cluster(nil), s.Clusters...)
+				s.Clusters[0].Lines = nil
+			}
+		}
+	case audit.Repeat: // all gateways repeat whatever has failed
+		for _, g := range f.gateways {
+			g.SpoilRetry = true
+		}
+	case audit.Drain: // one gateway keeps every line that it ever had
+		had := map[string]map[string]tables.Line{}
+		f.gateways[0].Spoil = func(s *tables.Snapshot) {
+			s.Clusters = append([]tables.Cluster(nil), s.Clusters...)
+			for i, c := range s.Clusters {
+				if had[c.Kind] == nil {
+					had[c.Kind] = map[string]tables.Line{}
+				}
+				for _, l := range c.Lines {
+					l.Withheld = false
+					had[c.Kind][string(l.Backend)] = l
+				}
+				kept := tables.Cluster{Kind: c.Kind}
+				for _, l := range had[c.Kind] {
+					kept.Lines = append(kept.Lines, l)
+				}
+				kept.Sort()
+				s.Clusters[i] = kept
+			}
+		}
+	case audit.Cold: // all gateways send nearly everything to what has just come back
+		for _, g := range f.gateways {
+			g.Spoil = func(s *tables.Snapshot) {
+				s.Clusters = append([]tables.Cluster(nil), s.Clusters...)
+				for i, c := range s.Clusters {
+					c.Lines = append([]tables.Line(nil), c.Lines...)
+					for j, l := range c.Lines {
+						for _, n := range f.nodes {
+							if up, launched := n.Up(); n.Addr == string(l.Backend) && up && launched >= 0 {
+								c.Lines[j].Weight = 1000
+							}
+						}
+					}
+					s.Clusters[i] = c
+				}
+			}
+		}
+	case audit.Queue: // somebody rewrites a gateway's file over and over, each time as a new message
+		go func() {
+			path := filepath.Join(f.dir, "tables", f.gateways[0].Name, "eds.json")
+			for n := 100_000; f.world.Now() < f.length(); n++ {
+				if f.world.Now() > half {
+					if text, err := os.ReadFile(path); err == nil {
+						epoch, _, _ := strings.Cut(between(string(text), `"version_info":"`, `"`), ".")
+						next := replaceBetween(string(text), `"version_info":"`, `"`, fmt.Sprintf("%s.%d", epoch, n))
+						if os.WriteFile(path+".spoilt", []byte(next), 0o644) == nil {
+							_ = os.Rename(path+".spoilt", path)
+						}
+					}
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	}
+}
+
+// span finds what stands between two marks; spaces after the first's colon are passed over.
+func spanOf(text, from, to string) (int, int) {
+	i := strings.Index(text, from)
+	if i < 0 {
+		loose := strings.Replace(from, `":"`, `": "`, 1)
+		if i = strings.Index(text, loose); i < 0 {
+			return 0, 0
+		}
+		from = loose
+	}
+	i += len(from)
+	j := strings.Index(text[i:], to)
+	if j < 0 {
+		return 0, 0
+	}
+	return i, i + j
+}
+
+func between(text, from, to string) string {
+	i, j := spanOf(text, from, to)
+	return text[i:j]
+}
+
+func replaceBetween(text, from, to, with string) string {
+	i, j := spanOf(text, from, to)
+	return text[:i] + with + text[j:]
+}
--- /dev/null
+++ b/drill/scenario.go
@@ -0,0 +1,173 @@
+package drill
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"porthub/config"
+)
+
+// Scenario is a fleet and what befalls it.
+type Scenario struct {
+	Name     string          `json:"name"`
+	About    string          `json:"about"`
+	Seconds  int             `json:"seconds"`
+	Zones    []string        `json:"zones"`
+	Nodes    int             `json:"nodes"`
+	Cores    int             `json:"cores"` // of a node
+	Gateways int             `json:"gateways"`
+	Reqs     float64         `json:"reqs_per_s"`
+	Spread   float64         `json:"gateway_spread"` // of the gateways' sizes: 0 all alike
+	Kinds    []Kind          `json:"request_kinds"`
+	Rules    config.Rules    `json:"rules"`
+	Period   config.Duration `json:"report_period"`
+	ListLate config.Duration `json:"list_late"` // the node list tells so long after the truth
+	Retries  int             `json:"client_retries"`
+	Queue    int             `json:"node_queue"`
+	Conns    int             `json:"node_connections"`
+	Chunk    int             `json:"read_chunk"` // gateways read files by so many bytes; 0: at once
+	Troubles []Trouble       `json:"troubles"`
+	Checks   []Check         `json:"checks"`
+}
+
+// Kind is a request kind of a scenario.
+type Kind struct {
+	Name           string          `json:"name"`
+	Share          float64         `json:"share"`
+	Work           config.Duration `json:"work"` // mean core time
+	Repeat         string          `json:"repeat"`
+	ResponseTarget config.Duration `json:"response_target"`
+	ClientTimeout  config.Duration `json:"client_timeout"`
+	Payoff         float64         `json:"payoff"`
+}
+
+// Trouble is one thing that goes wrong. What Part, Size and Extra mean is said in the table of troubles.
+type Trouble struct {
+	What  string          `json:"what"`
+	At    config.Duration `json:"at"`
+	For   config.Duration `json:"for"`
+	Part  float64         `json:"part"`
+	Size  float64         `json:"size"`
+	Extra float64         `json:"extra"`
+	Zone  string          `json:"zone"`
+	Kind  string          `json:"kind"`
+}
+
+// Check is a figure that a scenario has to reach.
+type Check struct {
+	Name    string  `json:"name"` // service, worst_10s, kind:NAME, partial_reads, orders_p99_ms, over_standing
+	AtLeast float64 `json:"at_least"`
+	AtMost  float64 `json:"at_most"` // in use where above 0 or where AtLeast is 0
+}
+
+//go:embed scenarios/*.json
+var builtIn embed.FS
+
+// ErrScenario is a scenario that can't be read.
+var ErrScenario = errors.New("scenario")
+
+// List names the built-in scenarios with what they are about.
+func List() (names, about []string) {
+	entries, _ := builtIn.ReadDir("scenarios")
+	for _, e := range entries {
+		name := strings.TrimSuffix(e.Name(), ".json")
+		s, err := Load(name)
+		if err != nil {
+			continue
+		}
+		names, about = append(names, name), append(about, s.About)
+	}
+	return names, about
+}
+
+func usual() Scenario {
+	return Scenario{Seconds: 60, Zones: []string{"hala-a", "hala-b", "hala-c"}, Nodes: 18, Cores: 2, Gateways: 15, Reqs: 140, Spread: 0.7,
+		Kinds: []Kind{
+			{"schedule", 0.39, 160_000, "replayable", 750_000, 2_500_000, 1},
+			{"capacity", 0.32, 160_000, "replayable", 800_000, 2_500_000, 1},
+			{"save-sim", 0.29, 160_000, "non-replayable", 750_000, 2_000_000, 2}},
+		Rules: config.Default().Rules, Period: 1_000_000, ListLate: 1_500_000, Retries: 1, Queue: 30, Conns: 200}
+}
+
+// Load reads a scenario: a built-in one by its name, only:TROUBLE for that trouble alone in the middle of a short run,
+// or a file.
+func Load(name string) (Scenario, error) {
+	s := usual()
+	if what, alone := strings.CutPrefix(name, "only:"); alone {
+		t, known := troubles[what]
+		if !known {
+			return s, fmt.Errorf("%w: there is no trouble %q, but %s", ErrScenario, what, strings.Join(Troubles(), ", "))
+		}
+		s.Name, s.Seconds, s.About = name, 24, "that trouble alone"
+		one := t.usual
+		one.What, one.At = what, 4_000_000
+		s.Troubles = []Trouble{one}
+		return s, nil
+	}
+	text, err := builtIn.ReadFile(path.Join("scenarios", name+".json"))
+	if err != nil {
+		if text, err = os.ReadFile(name); err != nil {
+			names, _ := List()
+			return s, fmt.Errorf("%w: %q is no built-in one (%s), no only:TROUBLE and no file: %v", ErrScenario, name,
+				strings.Join(names, ", "), err)
+		}
+	}
+	if err := config.Decode(name, text, &s); err != nil {
+		return s, fmt.Errorf("%w: %w", ErrScenario, err)
+	}
+	if s.Name == "" {
+		s.Name = name
+	}
+	return s, s.sound()
+}
+
+func (s Scenario) sound() error {
+	bad := func(format string, args ...any) error {
+		return fmt.Errorf("%w: %s: %s", ErrScenario, s.Name, fmt.Sprintf(format, args...))
+	}
+	if s.Seconds < 3 || s.Seconds > 3600 || s.Nodes < 1 || s.Nodes > 2000 || s.Gateways < 1 || s.Gateways > 2000 || s.Cores < 1 ||
+		s.Reqs <= 0 || len(s.Zones) == 0 || len(s.Kinds) == 0 {
+		return bad("it needs 3 to 3600 seconds, 1 to 2000 nodes and gateways, cores, reqs, zones and kinds")
+	}
+	for i, t := range s.Troubles {
+		if _, known := troubles[t.What]; !known {
+			return bad("troubles[%d]: there is no %q, but %s", i, t.What, strings.Join(Troubles(), ", "))
+		}
+		if t.Zone != "" && !slices.Contains(s.Zones, t.Zone) {
+			return bad("troubles[%d]: %q is not one of %v", i, t.Zone, s.Zones)
+		}
+		if t.Kind != "" && !slices.ContainsFunc(s.Kinds, func(k Kind) bool { return k.Name == t.Kind }) {
+			return bad("troubles[%d]: there is no request kind %q", i, t.Kind)
+		}
+		if t.Part < 0 || t.Part > 1 || t.Size < 0 {
+			return bad("troubles[%d]: part must be 0 to 1 and size 0 or more", i)
+		}
+	}
+	return nil
+}
+
+func duration(d config.Duration) time.Duration { return time.Duration(d) * time.Microsecond }
+
+// Config is the coordinator's configuration for the scenario.
+func (s Scenario) Config(dir, listen string, seed uint64) config.Config {
+	c := config.Default()
+	c.Coordinator = config.Coordinator{Zone: s.Zones[0], Instances: 1, Seed: int(seed % (1 << 31))}
+	c.Listen, c.StateDir = listen, path.Join(dir, "state")
+	c.Front.Files.Dir, c.Registry.File.Path = path.Join(dir, "tables"), path.Join(dir, "nodes.json")
+	c.Registry.File.Poll = 100_000
+	c.Zones, c.Rules = s.Zones, s.Rules
+	c.Reports.Period = s.Period
+	c.Gateways.Expected, c.Gateways.SilentAfter = s.Gateways, max(3_000_000, 3*s.Period)
+	c.Channel.Connections = s.Conns
+	for _, k := range s.Kinds {
+		c.Kinds = append(c.Kinds, config.Kind{Name: k.Name, Repeat: k.Repeat, ResponseTarget: k.ResponseTarget, ClientTimeout: k.ClientTimeout,
+			Payoff: k.Payoff, OnlyZones: []string{}})
+	}
+	return c
+}
--- /dev/null
+++ b/standin/gateway.go
@@ -0,0 +1,645 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"porthub/client"
+	"porthub/control"
+	"porthub/tables"
+	"porthub/xds"
+)
+
+// GatewayOptions are how a gateway is set up.
+type GatewayOptions struct {
+	Name, Zone string
+	Kinds      []string
+	FrontDir   string
+	// Coordinator tells the address to dial, empty while there is none. Nil: the gateway has no coordinator at all.
+	Coordinator func() string
+	// List tells what the node list holds; it is read at the start only, for the standing table.
+	List      func() []ListEntry
+	Standing  int // lines of the standing table at most
+	ShunAfter int
+	ShunFor   time.Duration
+	Period    time.Duration // of reports
+	Weight    float64
+	Everyone  bool // baseline: one table of all listed nodes, at once and for ever
+	ReadChunk int  // a slow reader reads so many bytes at a time
+	ReadPause time.Duration
+}
+
+// ListEntry is a node in the list.
+type ListEntry struct {
+	Addr, Zone string
+	Weight     float64
+	Draining   bool
+}
+
+// Gateway is a plain proxy: it looks up a table, lets in what its level allows, picks a line evenly by weight and sends.
+type Gateway struct {
+	GatewayOptions
+	Addr  string
+	world *World
+	http  *http.Client
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	up     bool
+	server *http.Server
+	held   client.Held
+	picks  map[string]map[string]float64 // by kind and node: smooth weighted round robin
+	shuns  map[string]*shun
+	bucket map[string]*bucket
+	sums   map[string]*kindSums
+	since  time.Time // of the report
+	away   bool      // no way to a coordinator
+	mute   bool      // acknowledges nothing
+	late   time.Duration
+	conns  map[net.Conn]bool
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
+
+	// Spoil changes what was read before it is held; SpoilRetry makes it repeat what it must not. For --break-rule.
+	Spoil      func(*tables.Snapshot)
+	SpoilRetry bool
+}
+
+type shun struct {
+	failures int
+	until    time.Duration
+}
+
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+type kindSums struct {
+	arrived, denied, errored int
+	nodes                    map[string]*nodeSums
+}
+
+type nodeSums struct {
+	zone                   string
+	tries, errored, active int
+	took                   time.Duration
+	loads                  map[string]float64
+	loaded                 int
+}
+
+// NewGateway prepares a gateway; Start begins.
+func NewGateway(w *World, o GatewayOptions) *Gateway {
+	g := &Gateway{GatewayOptions: o, world: w, rng: w.Rand("gateway " + o.Name), conns: map[net.Conn]bool{}}
+	g.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 15 * time.Second,
+		DialContext: (&net.Dialer{Timeout: 250 * time.Millisecond}).DialContext, DisableCompression: true}}
+	return g
+}
+
+// Start begins with a standing table drawn from the list.
+func (g *Gateway) Start() error {
+	l, err := net.Listen("tcp", cmp.Or(g.Addr, "127.0.0.1:0"))
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Addr, g.up = l.Addr().String(), true
+	g.held = client.Held{Snapshot: g.standing()}
+	g.picks, g.shuns, g.bucket = map[string]map[string]float64{}, map[string]*shun{}, map[string]*bucket{}
+	g.sums, g.since = map[string]*kindSums{}, time.Now()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", g.serve)
+	g.server = &http.Server{Handler: mux}
+	go func(s *http.Server) { _ = s.Serve(l) }(g.server)
+	now := g.world.Now()
+	g.world.Log.Alive(now, g.Name, g.Zone, true)
+	g.world.Log.Held(now, now, g.Name, "", g.held.Snapshot)
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	if g.Coordinator != nil {
+		g.ended.Add(1)
+		go func() { defer g.ended.Done(); g.follow(ctx) }()
+	}
+	return nil
+}
+
+// Kill ends the process: what it held is lost, but for its files.
+func (g *Gateway) Kill() {
+	g.mu.Lock()
+	if !g.up {
+		g.mu.Unlock()
+		return
+	}
+	g.up = false
+	g.stop()
+	_ = g.server.Close()
+	for c := range g.conns {
+		_ = c.Close()
+	}
+	g.mu.Unlock()
+	g.ended.Wait()
+	now := g.world.Now()
+	g.world.Log.Joined(now, g.Name, false)
+	g.world.Log.Alive(now, g.Name, g.Zone, false)
+}
+
+// Away takes the way to the coordinator from the gateway, or gives it back.
+func (g *Gateway) Away(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.away = on
+	if on {
+		for c := range g.conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// Mute makes the gateway acknowledge nothing, or late.
+func (g *Gateway) Mute(on bool, late time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mute, g.late = on, late
+}
+
+// standing draws the first table: some listed nodes, of the gateway's own zone if three are there.
+func (g *Gateway) standing() tables.Snapshot {
+	var own, all []ListEntry
+	for _, e := range g.List() {
+		if e.Draining {
+			continue
+		}
+		if all = append(all, e); e.Zone == g.Zone {
+			own = append(own, e)
+		}
+	}
+	if len(own) < 3 {
+		own = all
+	}
+	if g.Everyone {
+		own = all
+	} else {
+		g.rng.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+		own = own[:min(len(own), g.Standing)]
+	}
+	return snapshot(g.Kinds, own)
+}
+
+func snapshot(kinds []string, list []ListEntry) (s tables.Snapshot) {
+	for _, k := range kinds {
+		c := tables.Cluster{Kind: k}
+		for _, e := range list {
+			c.Lines = append(c.Lines, line(e))
+		}
+		c.Sort()
+		s.Clusters = append(s.Clusters, c)
+		s.Routes = append(s.Routes, tables.Route{Kind: k, Rate: tables.Unlimited, Share: 1})
+	}
+	return s
+}
+
+// Relist gives an Everyone gateway the list anew.
+func (g *Gateway) Relist() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.Everyone && g.up {
+		var open []ListEntry
+		for _, e := range g.List() {
+			if !e.Draining {
+				open = append(open, e)
+			}
+		}
+		g.held.Snapshot = snapshot(g.Kinds, open)
+		now := g.world.Now()
+		g.world.Log.Held(now, now, g.Name, "", g.held.Snapshot)
+	}
+}
+
+// follow keeps the link and the files: joins, reads, acknowledges, reports.
+func (g *Gateway) follow(ctx context.Context) {
+	reader := client.NewReader(g.FrontDir, g.Name)
+	reader.Chunk, reader.Pause = g.ReadChunk, g.ReadPause
+	reader.Look() // an earlier process's files are not this one's tables before the coordinator has written anew
+	var link *client.Link
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		g.mu.Lock()
+		away := g.away
+		g.mu.Unlock()
+		if away {
+			return nil, errors.New("no way to the coordinator")
+		}
+		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, addr)
+		if err == nil {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if g.away || !g.up {
+				_ = c.Close()
+				return nil, errors.New("no way to the coordinator")
+			}
+			t := &tracked{Conn: c, closed: func(c net.Conn) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				delete(g.conns, c)
+			}}
+			g.conns[t] = true
+			return t, nil
+		}
+		return nil, err
+	}
+	joined := false
+	broke := func() {
+		if joined {
+			joined = false
+			g.world.Log.Joined(g.world.Now(), g.Name, false)
+		}
+		if link != nil {
+			link.Close()
+			link = nil
+		}
+	}
+	defer broke()
+	pause := time.Duration(0)
+	nextDial := time.Now()
+	nextReport := time.Now().Add(g.Period)
+	var owed []client.Update
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, u := range reader.Look() {
+			g.take(u)
+			owed = append(owed, u)
+		}
+		if link == nil && time.Now().After(nextDial) {
+			if addr := g.Coordinator(); addr != "" {
+				link = client.NewLink(client.Options{Node: xds.Node{Name: g.Name, Zone: g.Zone, Weight: g.Weight}, Coordinator: addr,
+					Timeout: 2 * time.Second, Dial: dial})
+				// The grace of what it was told of starts with its joining: taken from before, so on the strict side.
+				at := g.world.Now()
+				g.mu.Lock()
+				held := g.held
+				g.mu.Unlock()
+				if err := link.Join(ctx, held); err != nil {
+					broke()
+				} else {
+					joined, pause = true, 0
+					g.world.Log.Joined(at, g.Name, true)
+				}
+			}
+			if link == nil {
+				pause = min(2*time.Second, max(200*time.Millisecond, 2*pause))
+				nextDial = time.Now().Add(time.Duration(float64(pause) * (0.5 + g.lot())))
+			}
+		}
+		if link == nil {
+			owed = nil
+			continue
+		}
+		g.mu.Lock()
+		mute, late, held := g.mute, g.late, g.held
+		g.mu.Unlock()
+		for len(owed) > 0 && link != nil {
+			u := owed[0]
+			if mute || time.Since(u.Written) < late {
+				break
+			}
+			owed = owed[1:]
+			if err := link.Answer(ctx, u, held); err != nil && !errors.Is(err, client.ErrRefused) {
+				broke()
+			} else if u.Err == nil {
+				g.world.Log.Acked(g.world.Now(), g.Name, u.Doc.Version)
+			}
+		}
+		if link != nil && time.Now().After(nextReport) {
+			nextReport = nextReport.Add(g.Period)
+			if time.Now().After(nextReport) {
+				nextReport = time.Now().Add(g.Period)
+			}
+			interval, kinds := g.collect()
+			if _, err := link.Report(ctx, interval, kinds); err != nil && !errors.Is(err, client.ErrRefused) {
+				broke()
+			}
+		}
+	}
+}
+
+type tracked struct {
+	net.Conn
+	once   sync.Once
+	closed func(net.Conn)
+}
+
+func (t *tracked) Close() error {
+	err := t.Conn.Close()
+	t.once.Do(func() { go t.closed(t) })
+	return err
+}
+
+func (g *Gateway) lot() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.Float64()
+}
+
+// take puts a read document in force.
+func (g *Gateway) take(u client.Update) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if u.Err != nil {
+		g.world.Log.Partial()
+	}
+	if g.held.Apply(u); u.Err != nil {
+		return
+	}
+	if g.Spoil != nil {
+		g.Spoil(&g.held.Snapshot)
+	}
+	at, written := g.world.Now(), u.Written.Sub(g.world.Start)
+	g.world.Log.Held(at, written, g.Name, u.Doc.Version, g.held.Snapshot)
+}
+
+// collect closes the report's interval.
+func (g *Gateway) collect() (time.Duration, []xds.Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	interval := time.Since(g.since)
+	g.since = time.Now()
+	var kinds []xds.Kind
+	for _, k := range g.Kinds {
+		s := g.sums[k]
+		if s == nil {
+			kinds = append(kinds, xds.Kind{Name: k})
+			continue
+		}
+		one := xds.Kind{Name: k, Arrived: s.arrived, Denied: s.denied, Errored: s.errored}
+		for _, addr := range sortedKeys(s.nodes) {
+			n := s.nodes[addr]
+			e := xds.Endpoint{Backend: addr, Zone: n.zone, Tries: n.tries, Errored: n.errored, Active: n.active, Loads: n.loads, Loaded: n.loaded}
+			if done := n.tries - n.errored; done > 0 {
+				e.Answer = n.took / time.Duration(done)
+			}
+			one.Endpoints = append(one.Endpoints, e)
+			*n = nodeSums{zone: n.zone, active: n.active}
+		}
+		s.arrived, s.denied, s.errored = 0, 0, 0
+		kinds = append(kinds, one)
+	}
+	return interval, kinds
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (g *Gateway) kind(name string) *kindSums {
+	s := g.sums[name]
+	if s == nil {
+		s = &kindSums{nodes: map[string]*nodeSums{}}
+		g.sums[name] = s
+	}
+	return s
+}
+
+// admit takes a token of the kind's level.
+func (g *Gateway) admit(r tables.Route) bool {
+	if r.Share < 1 && g.rng.Float64() >= r.Share {
+		return false
+	}
+	if r.Rate < 0 {
+		return true
+	}
+	b, now := g.bucket[r.Kind], g.world.Now()
+	if b == nil {
+		b = &bucket{tokens: 1, at: now}
+		g.bucket[r.Kind] = b
+	}
+	b.tokens = min(max(1, r.Rate/4), b.tokens+r.Rate*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (g *Gateway) route(kind string) tables.Route {
+	for _, r := range g.held.Snapshot.Routes {
+		if r.Kind == kind {
+			return r
+		}
+	}
+	return tables.Route{Kind: kind, Rate: tables.Unlimited, Share: 1}
+}
+
+// pick chooses a line evenly by weight, other than the one given, and not one that it shuns if there is another.
+func (g *Gateway) pick(kind, not string) (tables.Line, bool) {
+	var best, shunned *tables.Line
+	now := g.world.Now()
+	current := g.picks[kind]
+	if current == nil {
+		current = map[string]float64{}
+		g.picks[kind] = current
+	}
+	total := 0.0
+	for i := range g.held.Snapshot.Clusters {
+		c := &g.held.Snapshot.Clusters[i]
+		if c.Kind != kind {
+			continue
+		}
+		for j := range c.Lines {
+			l := &c.Lines[j]
+			if l.Withheld || string(l.Backend) == not {
+				continue
+			}
+			if s := g.shuns[string(l.Backend)]; s != nil && s.until > now {
+				shunned = l
+				continue
+			}
+			if _, known := current[string(l.Backend)]; !known { // not all at the same line first
+				current[string(l.Backend)] = g.rng.Float64() * l.Weight
+			}
+			current[string(l.Backend)] += l.Weight
+			total += l.Weight
+			if best == nil || current[string(l.Backend)] > current[string(best.Backend)] {
+				best = l
+			}
+		}
+	}
+	if best == nil {
+		if best = shunned; best == nil {
+			return tables.Line{}, false
+		}
+		return *best, true
+	}
+	current[string(best.Backend)] -= total
+	return *best, true
+}
+
+// serve takes one req from a client through to an answer.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	kind := r.Header.Get(xds.KindHeader)
+	g.mu.Lock()
+	s := g.kind(kind)
+	s.arrived++
+	route := g.route(kind)
+	if !g.admit(route) {
+		s.denied++
+		g.mu.Unlock()
+		deny(w)
+		return
+	}
+	tries := 1
+	switch second := route.SecondTry; {
+	case g.SpoilRetry:
+		tries = 3
+	case second == 3:
+		tries = 3
+	case second > 0:
+		tries = 2
+	}
+	g.mu.Unlock()
+	not := ""
+	var err error
+	for try := range tries {
+		g.mu.Lock()
+		line, has := g.pick(kind, not)
+		g.mu.Unlock()
+		if !has {
+			if try == 0 {
+				g.mu.Lock()
+				s.denied++
+				g.mu.Unlock()
+				deny(w)
+				return
+			}
+			break
+		}
+		not = string(line.Backend)
+		ctx := r.Context()
+		cancel := context.CancelFunc(func() {})
+		if try < tries-1 && (route.SecondTry >= 2 || g.SpoilRetry) {
+			ctx, cancel = context.WithTimeout(ctx, 600*time.Millisecond)
+		}
+		err = g.send(ctx, kind, line, r)
+		cancel()
+		if err == nil {
+			_, _ = io.WriteString(w, "done\n")
+			return
+		}
+		if r.Context().Err() != nil || route.SecondTry == 1 && !errors.Is(err, errDenied) && !g.SpoilRetry {
+			break
+		}
+	}
+	g.mu.Lock()
+	s.errored++
+	g.mu.Unlock()
+	if errors.Is(err, errDenied) {
+		deny(w)
+		return
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+func deny(w http.ResponseWriter) {
+	w.Header().Set(headerDenied, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// send tries one node. The error wraps errDenied where it is proven that nothing ran.
+func (g *Gateway) send(ctx context.Context, kind string, l tables.Line, r *http.Request) error {
+	addr := string(l.Backend)
+	start := time.Now()
+	g.world.Log.Sent(g.world.Now(), g.Name, addr)
+	g.mu.Lock()
+	n := g.kind(kind).nodes[addr]
+	if n == nil {
+		n = &nodeSums{zone: string(l.Zone)}
+		g.kind(kind).nodes[addr] = n
+	}
+	n.active++
+	g.mu.Unlock()
+	loads, err := g.exchange(ctx, addr, string(l.Zone), r)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n.active--
+	n.tries++
+	sh := g.shuns[addr]
+	if sh == nil {
+		sh = &shun{}
+		g.shuns[addr] = sh
+	}
+	if err != nil {
+		n.errored++
+		if sh.failures++; g.ShunAfter > 0 && sh.failures >= g.ShunAfter {
+			sh.failures, sh.until = 0, g.world.Now()+g.ShunFor
+		}
+		return err
+	}
+	sh.failures = 0
+	n.took += time.Since(start)
+	if loads != nil {
+		n.loads, n.loaded = loads, n.loaded+1
+	}
+	return nil
+}
+
+func (g *Gateway) exchange(ctx context.Context, addr, zone string, r *http.Request) (map[string]float64, error) {
+	if g.world.Blocked(g.Zone, zone) { // nothing comes back, not even a refusal
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/work", nil)
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range []string{xds.KindHeader, headerReq, headerTry, headerWork} {
+		req.Header.Set(h, r.Header.Get(h))
+	}
+	res, err := g.http.Do(req)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, fmt.Errorf("%w: %v", errDenied, err)
+		}
+		return nil, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	if g.world.Blocked(g.Zone, zone) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case res.Header.Get(headerDenied) != "":
+		return nil, errDenied
+	case res.StatusCode != http.StatusOK:
+		return nil, errors.New("answered " + strconv.Itoa(res.StatusCode))
+	}
+	return xds.ReadOrca(res.Header.Get(xds.OrcaHeader)), nil
+}
+
+func line(e ListEntry) tables.Line {
+	return tables.Line{Backend: control.Backend(e.Addr), Zone: control.Zone(e.Zone), Weight: max(e.Weight, 1e-3)}
+}
--- /dev/null
+++ b/standin/node.go
@@ -0,0 +1,351 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"porthub/xds"
+)
+
+// The headers of a req on its way.
+const (
+	headerReq    = "x-req"        // its number
+	headerTry    = "x-client-try" // the client's try, from 0
+	headerWork   = "x-work-us"    // core time it takes at usual speed, microseconds
+	headerDenied = "x-denied"     // set on an answer: turned away unseen, so it never ran
+)
+
+// NodeOptions are how large a calc node is.
+type NodeOptions struct {
+	Name    string // for logs; its id is its address
+	Zone    string
+	Machine string
+	Pod     int
+	Weight  float64
+	Cores   int
+	Queue   int // reqs that may wait
+	Conns   int // connections accepted
+}
+
+// Node is a calc node: an HTTP server with cores, a waiting room and a limit on connections. Its process can die and
+// come back cold at the same address.
+type Node struct {
+	NodeOptions
+	Addr  string
+	world *World
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	server   *http.Server
+	up       bool
+	fallen   bool
+	launched time.Duration // since the world's start; below 0: long ago
+	cold     bool
+	cores    chan struct{}
+	waiting  int
+	running  int
+	conns    int
+	window   []piece
+	windowed float64
+	busyAt   time.Duration
+	busy     float64 // smoothed busy share
+	fault    Fault
+	gate     chan struct{} // closed while the node does not stand still
+	life     context.Context
+	kill     context.CancelFunc
+}
+
+type piece struct {
+	at   time.Duration
+	work float64
+}
+
+// Fault is what ails a node now. The zero value ails nothing.
+type Fault struct {
+	Hang      bool    // takes reqs and answers none
+	Lost      float64 // part of the answers that never come back
+	FailKind  string  // this kind fails ...
+	FailPart  float64 // ... by this part, and the others don't
+	FailError bool    // by an error; else by silence
+	Slow      float64 // works so many times slower; 0: as usual
+	Conns     float64 // part of its connections that it accepts; 0: all
+}
+
+// NewNode starts a node that has been warm for long.
+func NewNode(w *World, o NodeOptions) (*Node, error) {
+	n := &Node{NodeOptions: o, world: w, rng: w.Rand("node " + o.Name), launched: -time.Hour, gate: make(chan struct{})}
+	close(n.gate)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n.Addr = l.Addr().String()
+	n.serve(l)
+	w.Log.Started(w.Now(), n.Addr, o.Zone, o.Cores, false)
+	return n, nil
+}
+
+func (n *Node) serve(l net.Listener) {
+	n.life, n.kill = context.WithCancel(context.Background())
+	n.cores = make(chan struct{}, n.Cores)
+	n.waiting, n.running, n.conns, n.window, n.windowed, n.busy = 0, 0, 0, nil, 0, 0
+	n.up = true
+	life := n.life
+	mux := http.NewServeMux()
+	mux.HandleFunc("/work", func(w http.ResponseWriter, r *http.Request) { n.work(life, w, r) })
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, r *http.Request) { n.health(life, w, r) })
+	n.server = &http.Server{Handler: mux, ConnState: func(c net.Conn, s http.ConnState) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			n.conns++
+			most := n.Conns
+			if n.fault.Conns > 0 {
+				most = int(float64(most) * n.fault.Conns)
+			}
+			if n.conns > most {
+				_ = c.Close()
+			}
+		case http.StateClosed, http.StateHijacked:
+			n.conns--
+		}
+	}}
+	go func(s *http.Server) { _ = s.Serve(l) }(n.server)
+}
+
+// Set changes what ails the node.
+func (n *Node) Set(change func(*Fault)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.fault)
+}
+
+// Pause makes the node stand still for a while.
+func (n *Node) Pause(d time.Duration) {
+	n.mu.Lock()
+	gate := make(chan struct{})
+	n.gate = gate
+	n.mu.Unlock()
+	time.AfterFunc(d, func() { close(gate) })
+}
+
+// Kill ends the process at once: connections break, work is lost.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.up {
+		n.up = false
+		n.kill()
+		_ = n.server.Close()
+	}
+}
+
+// Up tells whether the process runs, and when it was launched.
+func (n *Node) Up() (bool, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.up, n.launched
+}
+
+// Revive starts the process again, cold, at the same address.
+func (n *Node) Revive() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.up {
+		return nil
+	}
+	var l net.Listener
+	var err error
+	for range 50 {
+		if l, err = net.Listen("tcp", n.Addr); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil {
+		return fmt.Errorf("node %s: %w", n.Addr, err)
+	}
+	n.launched, n.cold, n.fallen, n.fault = n.world.Now(), true, false, Fault{}
+	n.world.Log.Started(n.launched, n.Addr, n.Zone, n.Cores, true)
+	n.serve(l)
+	return nil
+}
+
+// warmth is the part of its capacity that the node has.
+func (n *Node) warmth(at time.Duration) float64 {
+	if !n.cold || at-n.launched >= n.world.Rules.Cold {
+		return 1
+	}
+	from := n.world.Rules.ColdFrom
+	return from + (1-from)*float64(at-n.launched)/float64(n.world.Rules.Cold)
+}
+
+// strain counts work that comes to a cold node; too much in a window and it falls over and stays down.
+func (n *Node) strain(at time.Duration, work float64) {
+	if !n.cold || at-n.launched >= n.world.Rules.Cold {
+		n.window, n.windowed = nil, 0
+		return
+	}
+	n.window, n.windowed = append(n.window, piece{at, work}), n.windowed+work
+	for at-n.window[0].at > n.world.Rules.ColdWindow {
+		n.windowed, n.window = n.windowed-n.window[0].work, n.window[1:]
+	}
+	can := n.warmth(at) * float64(n.Cores) * n.world.Rules.ColdWindow.Seconds()
+	if n.windowed > n.world.Rules.ColdMultiple*can+4*work {
+		n.fallen = true
+	}
+}
+
+func (n *Node) silence(life context.Context, r *http.Request) {
+	select {
+	case <-life.Done():
+	case <-r.Context().Done():
+	}
+}
+
+func (n *Node) standStill(life context.Context, r *http.Request) bool {
+	n.mu.Lock()
+	gate := n.gate
+	n.mu.Unlock()
+	select {
+	case <-gate:
+		return true
+	case <-life.Done():
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// load figures as the node sees them.
+func (n *Node) orca() string { return xds.Orca(min(1.2, n.busy), float64(n.waiting)) }
+
+// account keeps the busy share, smoothed over half a second.
+func (n *Node) account(at time.Duration) {
+	const over = 500 * time.Millisecond
+	if gone := at - n.busyAt; gone > 0 {
+		w := min(1, float64(gone)/float64(over))
+		n.busy += w * (float64(n.running)/float64(n.Cores) - n.busy)
+		n.busyAt = at
+	}
+}
+
+func (n *Node) work(life context.Context, w http.ResponseWriter, r *http.Request) {
+	kind := r.Header.Get(xds.KindHeader)
+	req, _ := strconv.ParseUint(r.Header.Get(headerReq), 10, 64)
+	try, _ := strconv.Atoi(r.Header.Get(headerTry))
+	us, _ := strconv.ParseInt(r.Header.Get(headerWork), 10, 64)
+	work := time.Duration(us) * time.Microsecond
+	now := n.world.Now()
+	n.world.Log.Arrived(now, n.Addr, work.Seconds())
+	n.mu.Lock()
+	n.account(now)
+	n.strain(now, work.Seconds())
+	fault, lot := n.fault, n.rng.Float64()
+	if n.fallen || n.waiting >= n.Queue {
+		n.mu.Unlock()
+		w.Header().Set(headerDenied, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault.Hang {
+		n.mu.Unlock()
+		n.silence(life, r)
+		return
+	}
+	if fault.FailKind == kind && kind != "" && lot < fault.FailPart {
+		n.mu.Unlock()
+		if !fault.FailError {
+			n.silence(life, r)
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	n.waiting++
+	cores := n.cores
+	n.mu.Unlock()
+	if !n.standStill(life, r) {
+		n.leave()
+		return
+	}
+	select { // a cancel drops what waits
+	case cores <- struct{}{}:
+	case <-life.Done():
+		n.leave()
+		return
+	case <-r.Context().Done():
+		n.leave()
+		return
+	}
+	n.mu.Lock()
+	n.account(n.world.Now())
+	n.waiting--
+	n.running++
+	took := time.Duration(float64(work) / n.warmth(n.world.Now()) * max(1, n.fault.Slow))
+	n.mu.Unlock()
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	died := false
+	select { // what runs goes on
+	case <-timer.C:
+	case <-life.Done():
+		died = true
+	}
+	if !died {
+		n.world.Log.Effect(kind, req, try)
+	}
+	<-cores
+	n.mu.Lock()
+	n.account(n.world.Now())
+	n.running--
+	orca := n.orca()
+	lost := lot < n.fault.Lost
+	n.mu.Unlock()
+	if died {
+		return
+	}
+	if lost {
+		n.silence(life, r)
+		return
+	}
+	if !n.standStill(life, r) {
+		return
+	}
+	w.Header().Set(xds.OrcaHeader, orca)
+	_, _ = w.Write([]byte("done\n"))
+}
+
+func (n *Node) leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.waiting--
+}
+
+func (n *Node) health(life context.Context, w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	fallen, hang := n.fallen, n.fault.Hang
+	n.account(n.world.Now())
+	orca := n.orca()
+	n.mu.Unlock()
+	if hang || !n.standStill(life, r) {
+		n.silence(life, r)
+		return
+	}
+	if fallen {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(xds.OrcaHeader, orca)
+	_, _ = w.Write([]byte("well\n"))
+}
+
+// errDenied is an answer that proves that the req never ran.
+var errDenied = errors.New("turned away unseen")
