Tests of core, configuration, messages, file front and node list by the failures they are for

Need: each hard case must be caused. Change: gateways that never, late or wrongly acknowledge, two connections under one name, bad reports, empty, failed and lying lists, clocks that step, slow readers of files replaced under them, folders that vanish, leavings of killed writers, settings with every sort of mistake. A gateway put out for not acknowledging still gets drains.

--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"porthub/control"
+)
+
+const small = `{
+	// a comment
+	"coordinator": {"zone": "a"}, "zones": ["a", "b"],
+	"front": {"files": {"dir": "t"}}, "registry": {"file": {"path": "n.json"}},
+	"request_kinds": [{"name": "view", "repeat": "replayable", "response_target": "750ms", "client_timeout": "2.5s", "payoff": 1},],
+}`
+
+func TestParse(t *testing.T) {
+	c, err := Parse("x", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := c.Up()
+	if up.Kinds[0].ResponseTarget != 750_000 || up.Kinds[0].Repeat != control.Replayable || up.Rules.DrainGrace != 3_000_000 ||
+		up.Levels != control.LevelRate || up.Rules.SoftRemoval || up.Reports.Fields[0] != "busy" {
+		t.Errorf("%+v", up)
+	}
+}
+
+// All findings come at once, each with its line, its key and what would be right.
+func TestFindings(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, want string }{
+		"unknown key":     {`"zones"`, `"zonen": 1, "zones"`, "x:3: zonen: is not known, did you mean zones?"},
+		"key twice":       {`"zones": ["a", "b"],`, `"zones": ["a"], "zones": ["a", "b"],`, "x:3: zones: stands twice"},
+		"wrong type":      {`"payoff": 1`, `"payoff": "1"`, `x:5: request_kinds[0].payoff: is "1", it must be a number`},
+		"no unit":         {`"750ms"`, `750`, "x:5: request_kinds[0].response_target: is 750, it must be a time with its unit"},
+		"wrong unit":      {`"2.5s"`, `"2.5 parsecs"`, `client_timeout: is "2.5 parsecs"`},
+		"contradiction":   {`"2.5s"`, `"500ms"`, "client_timeout: is shorter than the response target"},
+		"unknown zone":    {`{"zone": "a"}`, `{"zone": "c"}`, `x:3: coordinator.zone: "c" is not one of zones`},
+		"not loopback":    {`"zones"`, `"listen": "0.0.0.0:1", "zones"`, `x:3: listen: "0.0.0.0" is not on loopback`},
+		"missing":         {`"path": "n.json"`, ``, "x:4: registry.file.path: is missing"},
+		"grace too short": {`"zones"`, `"rules": {"drain_grace": "100ms"}, "zones"`, "x:3: rules.drain_grace: is not longer than channel.worst_transit"},
+		"queue too short": {`"zones"`, `"gateways": {"expected": 900}, "zones"`, "under two envelopes for each of 900 gateways"},
+		"bad repeat":      {`"replayable"`, `"sometimes"`, `repeat: is "sometimes", it must be replayable, uniqued or non-replayable`},
+		"a list":          {`["a", "b"]`, `"a"`, `x:3: zones: is "a", it must be a list`},
+		"an object":       {`{"files": {"dir": "t"}}`, `[]`, "x:4: front: is [], it must be an object"},
+		"cut short":       {`"payoff": 1},],`, `"payoff": 1`, "the file must be JSON"},
+		"an array":        {small, `[]`, "holds no object"},
+	} {
+		text := strings.Replace(small, c.from, c.to, 1)
+		_, err := Parse("x", []byte(text))
+		var found Findings
+		if !errors.As(err, &found) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+	}
+	_, err := Parse("x", []byte(strings.NewReplacer(`"payoff": 1`, `"payoff": []`, `"dir": "t"`, `"dirt": 3`, `"750ms"`, `true`).Replace(small)))
+	var found Findings
+	if !errors.As(err, &found) || len(found) != 3 {
+		t.Errorf("three things are wrong: %v", err)
+	}
+	if _, err := Load("no/such/file"); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+// The example is right, and what a default says can be left out.
+func TestExample(t *testing.T) {
+	text, err := os.ReadFile("../examples/porthub.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse("example", text); err != nil {
+		t.Error(err)
+	}
+}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -226,7 +226,8 @@
 		for _, t := range g.binds {
 			reached = reached || touched[t]
 		}
-		if g.joined && g.bound() && (reached || g.stale) {
+		// One that is put out for not acknowledging may well read: drains still go to it.
+		if (g.joined || g.linked && c.relisted) && g.bound() && (reached || g.stale) {
 			events = append(events, c.publish(g, mark)...)
 		}
 	}
--- /dev/null
+++ b/coordinator/core_test.go
@@ -0,0 +1,405 @@
+package coordinator
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"porthub/control"
+)
+
+// host feeds a core its time and plays the gateways: those that answer acknowledge at once.
+type host struct {
+	t       *testing.T
+	core    *Core
+	now     micros
+	mute    map[Gateway]bool
+	conns   map[Gateway]Conn
+	held    map[Gateway]Publish
+	sent    map[Gateway]int
+	notes   map[string]int
+	dropped []Conn
+	watches int
+	next    Conn
+	seq     uint64
+}
+
+func newHost(t *testing.T, change func(*Settings)) *host {
+	set := Settings{Epoch: "e", SilentAfter: 3 * second, Up: control.Up{Seed: 1, Instances: 1, Zone: "a", Zones: []control.Zone{"a", "b"},
+		Kinds: []control.KindSettings{{Name: "view", Repeat: control.Replayable, ResponseTarget: 750_000, ClientTimeout: 2_500_000, Payoff: 1},
+			{Name: "save", ResponseTarget: 750_000, ClientTimeout: 2_000_000, Payoff: 2}},
+		Rules: control.RuleSettings{EmptyFor: 5 * second, DrainGrace: 3 * second, Cold: 17 * second, ColdFrom: 0.16, TipMultiple: 2.5,
+			Fall: 2 * second, QueueCap: 4000, MessageCap: 20, MessageSpan: 10 * second},
+		Channel: control.ChannelSettings{LinesPerS: 6000, Envelope: 6, Transit: 100_000, WorstTransit: 300_000, Sockets: 200},
+		Reports: control.ReportSettings{Period: second, Intake: 1000, InReport: true, Fields: []string{"busy", "q"}},
+		Levels:  control.LevelRate, Proxies: 3, MustAsk: true}}
+	if change != nil {
+		change(&set)
+	}
+	h := &host{t: t, core: New(set), now: 1000 * second, mute: map[Gateway]bool{}, conns: map[Gateway]Conn{}, held: map[Gateway]Publish{},
+		sent: map[Gateway]int{}, notes: map[string]int{}}
+	h.tell()
+	return h
+}
+
+// tell steps the core, and once more with the acknowledgements of what it has published.
+func (h *host) tell(inputs ...Input) {
+	for {
+		var acks []Input
+		for _, out := range h.core.Step(h.now, inputs) {
+			switch o := out.(type) {
+			case Publish:
+				h.held[o.Gateway] = o
+				h.sent[o.Gateway]++
+				for d := range docs {
+					if o.Changed[d] && !h.mute[o.Gateway] {
+						acks = append(acks, Ack{Gateway: o.Gateway, Conn: h.conns[o.Gateway], Doc: d, Version: o.Version, Nonce: o.Nonce})
+					}
+				}
+			case Note:
+				h.notes[o.Event] += max(1, o.Count)
+			case Drop:
+				h.dropped = append(h.dropped, o.Conn)
+			case Watch:
+				h.watches++
+			}
+		}
+		if inputs = acks; len(acks) == 0 {
+			return
+		}
+	}
+}
+
+// pass lets time go by; each second the gateways named report a calm second.
+func (h *host) pass(d micros, gateways ...Gateway) {
+	for end := h.now + d; h.now < end; {
+		h.now = min(end, max(h.now+1, h.core.Next()))
+		var inputs []Input
+		if h.now%second == 0 {
+			for _, g := range gateways {
+				inputs = append(inputs, h.report(g))
+			}
+		}
+		h.tell(inputs...)
+	}
+}
+
+func (h *host) report(g Gateway) Report {
+	h.seq++
+	r := Report{Gateway: g, Conn: h.conns[g], Seq: h.seq, Interval: second}
+	for _, k := range []string{"view", "save"} {
+		kind := KindReport{Kind: k, Arrived: 10}
+		for _, c := range h.held[g].Snapshot.Clusters {
+			if c.Kind != k {
+				continue
+			}
+			for _, l := range c.Lines {
+				kind.Endpoints = append(kind.Endpoints, EndpointReport{Backend: l.Backend, Tries: 4, Answer: 160_000,
+					Loads: control.Loads{"busy": 0.4, "q": 0}})
+			}
+		}
+		r.Kinds = append(r.Kinds, kind)
+	}
+	return r
+}
+
+func (h *host) join(g Gateway, zone control.Zone) {
+	h.next++
+	h.conns[g] = h.next
+	h.tell(Join{Gateway: g, Conn: h.next, Zone: zone, Standing: true, Weight: 20})
+}
+
+func entries(zone control.Zone, names ...control.Backend) (out []control.Entry) {
+	for _, n := range names {
+		out = append(out, control.Entry{Backend: n, Zone: zone, Weight: 2, Machine: "std"})
+	}
+	return out
+}
+
+func (h *host) list(e ...control.Entry) {
+	h.tell(List{List: control.List{Version: 1, How: control.ListFull, Entries: e}})
+}
+
+// fleet has four nodes and two gateways in two zones, with tables.
+func (h *host) fleet() {
+	h.list(append(entries("a", "a1:1", "a2:1"), entries("b", "b1:1", "b2:1")...)...)
+	h.join("g1", "a")
+	h.join("g2", "b")
+	h.pass(4*second, "g1", "g2")
+}
+
+// open names what a gateway may send a kind to.
+func (h *host) open(g Gateway, kind string) (names []control.Backend) {
+	for _, c := range h.held[g].Snapshot.Clusters {
+		for _, l := range c.Lines {
+			if c.Kind == kind && !l.Withheld {
+				names = append(names, l.Backend)
+			}
+		}
+	}
+	return names
+}
+
+func TestGatewaysGetTables(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	for _, g := range []Gateway{"g1", "g2"} {
+		for _, kind := range []string{"view", "save"} {
+			if len(h.open(g, kind)) < 2 {
+				t.Errorf("%s has %v for %s", g, h.open(g, kind), kind)
+			}
+		}
+	}
+	before := h.sent["g1"]
+	h.pass(10*second, "g1", "g2")
+	if n := h.sent["g1"] - before; n > 3 {
+		t.Errorf("%d messages while nothing changed", n)
+	}
+	for _, g := range h.core.Status().Gateways {
+		if !g.Joined || g.Waiting != 0 || g.Confirmed[Endpoints] == "" || g.Confirmed[Routes] == "" {
+			t.Errorf("%+v", g)
+		}
+	}
+}
+
+// A drain takes every line at once, in documents too whose table the module does not lay out any more.
+func TestDrainMasksEveryDocument(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	e := append(entries("a", "a1:1", "a2:1"), entries("b", "b1:1", "b2:1")...)
+	e[0].Status = control.Draining
+	g := h.core.gateways["g2"]
+	stale := control.Table(4000) // as if the module had moved on and the bind were still on its way
+	h.core.lines[stale] = map[control.Backend]float64{"a1:1": 1, "b1:1": 1}
+	g.binds = slices.Repeat([]control.Table{stale}, 2)
+	h.list(e...)
+	for _, g := range []Gateway{"g1", "g2"} {
+		if slices.Contains(h.open(g, "view"), "a1:1") || len(h.open(g, "view")) == 0 {
+			t.Errorf("%s may send to %v", g, h.open(g, "view"))
+		}
+	}
+}
+
+// A gateway that reports but acknowledges nothing is put out, later each time, and the other one is served meanwhile.
+func TestGatewayThatNeverAcknowledges(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	h.mute["g2"] = true
+	h.core.gateways["g2"].stale = true
+	h.list(entries("a", "a1:1", "a2:1")...)
+	h.pass(5*second, "g1", "g2")
+	if g := h.core.gateways["g2"]; g.joined || !g.linked || h.notes["no_acknowledgement"] != 1 {
+		t.Fatalf("joined %t, linked %t, notes %v", g.joined, g.linked, h.notes)
+	}
+	before := h.sent["g1"]
+	h.list(append(entries("a", "a1:1"), entries("b", "b1:1")...)...)
+	h.pass(3*second, "g1", "g2")
+	if h.sent["g1"] == before || slices.Contains(h.open("g1", "view"), "a2:1") {
+		t.Errorf("the other one waits: %v", h.open("g1", "view"))
+	}
+	if slices.Contains(h.open("g2", "view"), "a2:1") {
+		t.Errorf("what was dropped stays open to the one that is put out: %v", h.open("g2", "view"))
+	}
+	sent := h.sent["g2"]
+	h.pass(60*second, "g1", "g2")
+	if n := h.sent["g2"] - sent; n == 0 || n > 15 {
+		t.Errorf("tried %d times in a minute", n)
+	}
+	h.mute["g2"] = false
+	h.pass(60*second, "g1", "g2")
+	if !h.core.gateways["g2"].joined || slices.Contains(h.open("g2", "view"), "b2:1") {
+		t.Errorf("it acknowledges again and has %v", h.open("g2", "view"))
+	}
+}
+
+func TestAcknowledgements(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	h.mute["g1"] = true
+	h.list(entries("a", "a1:1")...)
+	g := h.core.gateways["g1"]
+	waiting := len(g.waiting)
+	if waiting == 0 {
+		t.Fatal("nothing is on its way")
+	}
+	m := g.waiting[0]
+	for name, ack := range map[string]Ack{
+		"never sent":         {Version: "e.999", Nonce: "e.999"},
+		"another start's":    {Version: "x.1", Nonce: "x.1"},
+		"an earlier one":     {Version: "e.1", Nonce: "e.1"},
+		"on another link":    {Version: m.version, Nonce: m.nonce, Conn: 99},
+		"no such document":   {Version: m.version, Nonce: m.nonce, Doc: 7},
+		"refusal of nothing": {Version: "e.1", Nonce: "e.1", Error: "no"},
+	} {
+		ack.Gateway = "g1"
+		if ack.Conn == 0 {
+			ack.Conn = h.conns["g1"]
+		}
+		if h.tell(ack); len(g.waiting) != waiting {
+			t.Errorf("%s: %d on their way, %d before", name, len(g.waiting), waiting)
+		}
+	}
+	if h.notes["unknown_version"] == 0 {
+		t.Error("a version that was never sent passes unnoted")
+	}
+	// A refusal is answered by the whole, once, after a while.
+	before := h.sent["g1"]
+	h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: "e.1", Nonce: m.nonce, Error: "unexpected end"})
+	if h.sent["g1"] != before {
+		t.Error("sent again at once")
+	}
+	h.mute["g1"] = false
+	h.pass(3*second, "g1", "g2")
+	if h.sent["g1"] == before || len(g.waiting) != 0 || h.notes["refused"] != 1 {
+		t.Errorf("sent %d times, %d on their way, %v", h.sent["g1"]-before, len(g.waiting), h.notes)
+	}
+}
+
+// Two connections under one name are one gateway: the later stands, the earlier's end is no leave.
+func TestOneNameTwice(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	old := h.conns["g1"]
+	h.join("g1", "a")
+	if !slices.Contains(h.dropped, old) {
+		t.Error("the first connection stays open")
+	}
+	h.tell(Leave{Gateway: "g1", Conn: old})
+	if g := h.core.gateways["g1"]; !g.joined || g.conn != h.conns["g1"] {
+		t.Errorf("joined %t on %d", g.joined, g.conn)
+	}
+	h.tell(Leave{Gateway: "g1", Conn: h.conns["g1"]})
+	if h.core.gateways["g1"].joined {
+		t.Error("its own end is no leave")
+	}
+}
+
+func TestSilentGatewayCountsAsAway(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	h.pass(5*second, "g1")
+	if h.core.gateways["g2"].joined || !h.core.gateways["g1"].joined || h.notes["silent"] != 1 {
+		t.Errorf("notes %v", h.notes)
+	}
+}
+
+// What is wrong with a report costs the whole report and is noted; nothing of it reaches the module.
+func TestBadReports(t *testing.T) {
+	good := func(h *host) Report { return h.report("g1") }
+	for name, spoil := range map[string]func(*Report){
+		"repeated":        func(r *Report) { r.Seq = 1 },
+		"no interval":     func(r *Report) { r.Interval = 0 },
+		"a long one":      func(r *Report) { r.Interval = 1000 * second },
+		"unknown kind":    func(r *Report) { r.Kinds[0].Kind = "other" },
+		"a kind twice":    func(r *Report) { r.Kinds[1].Kind = "view" },
+		"below zero":      func(r *Report) { r.Kinds[0].Arrived = -1 },
+		"more than tried": func(r *Report) { r.Kinds[0].Endpoints[0].Errored = 5 },
+		"not a number":    func(r *Report) { r.Kinds[0].Endpoints[0].Loads = control.Loads{"busy": math.NaN()} },
+		"a huge load":     func(r *Report) { r.Kinds[0].Endpoints[0].Loads = control.Loads{"busy": math.Inf(1)} },
+		"a huge count":    func(r *Report) { r.Kinds[0].Arrived = math.MaxInt },
+	} {
+		h := newHost(t, nil)
+		h.fleet()
+		r := good(h)
+		spoil(&r)
+		h.tell(r)
+		if len(h.core.sums.usage) != 0 || h.notes["report_bad"]+h.notes["report_repeated"] != 1 {
+			t.Errorf("%s: taken in, %v", name, h.notes)
+		}
+		if h.tell(good(h)); len(h.core.sums.usage) == 0 {
+			t.Errorf("%s: the next good one is not taken", name)
+		}
+	}
+}
+
+func TestLists(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	watches := h.watches
+	h.list()
+	if h.core.list.ready() != 4 || h.notes["list_empty"] != 1 {
+		t.Errorf("an empty list: %d ready, %v", h.core.list.ready(), h.notes)
+	}
+	h.tell(List{List: control.List{How: control.ListFailed}, Why: "half written"})
+	h.pass(4*second, "g1", "g2")
+	if h.core.list.ready() != 4 || h.watches == watches {
+		t.Errorf("a failed list: %d ready, asked again: %t", h.core.list.ready(), h.watches > watches)
+	}
+	e := append(entries("a", "a1:1", "a2:1", "a3:1", "a1:1"), entries("x", "x1:1")...)
+	e[1].Launched = h.now + 3600*second
+	h.list(e...)
+	for node, launched := range map[control.Backend]micros{"a1:1": 0, "a2:1": h.now, "a3:1": h.now} {
+		if got := h.core.list.entries[node]; got.Status != control.Ready || got.Launched != launched {
+			t.Errorf("%s: status %d, launched %d, want %d", node, got.Status, got.Launched, launched)
+		}
+	}
+	if h.notes["list_twice"] != 1 || h.notes["list_zone"] != 1 || h.core.list.ready() != 3 {
+		t.Errorf("%d ready, %v", h.core.list.ready(), h.notes)
+	}
+	h.now += second
+	h.list(e...) // the clock ahead of ours says the same: it is no new start
+	if got := h.core.list.entries["a2:1"].Launched; got != h.now-second {
+		t.Errorf("a start ahead of our clock moves along: %d at %d", got, h.now)
+	}
+}
+
+// A clock that steps back undoes nothing and stops nothing.
+func TestClockSteps(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	at := h.core.now
+	h.now -= 3600 * second
+	h.tell(h.report("g1"))
+	if h.core.now != at {
+		t.Errorf("the core went back by %d", at-h.core.now)
+	}
+	h.now = at
+	h.pass(3*second, "g1", "g2")
+	if !h.core.gateways["g1"].joined || !h.core.gateways["g2"].joined {
+		t.Error("gateways lost by a step of the clock")
+	}
+}
+
+// The same inputs at the same times give the same outputs, to the letter.
+func TestSameInputsSameOutputs(t *testing.T) {
+	run := func() []Output {
+		h := newHost(t, nil)
+		var all []Output
+		for i := range 12 {
+			h.list(append(entries("a", "a1:1", "a2:1"), entries("b", "b1:1", control.Backend(fmt.Sprintf("b%d:1", i%3+2)))...)...)
+			for _, g := range []Gateway{"g1", "g2", "g3"} {
+				if i == 0 {
+					h.join(g, "a")
+				}
+				h.tell(h.report(g))
+			}
+			h.now += second
+			all = append(all, h.core.Step(h.now, nil)...)
+		}
+		return all
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) || len(a) == 0 {
+		t.Errorf("%d and %d outputs differ", len(a), len(b))
+	}
+}
+
+// Complaints come once a period, with their number.
+func TestComplaintsAreHeldBack(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	records := 0
+	for range 100 {
+		for _, out := range h.core.Step(h.now, []Input{Report{Gateway: "g1", Conn: h.conns["g1"]}}) {
+			if n, is := out.(Note); is && strings.HasPrefix(n.Event, "report") {
+				records++
+			}
+		}
+		h.now += 50_000
+	}
+	if records != 1 {
+		t.Errorf("%d records in 5 s", records)
+	}
+}
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -58,7 +58,7 @@
 
 const unbound control.Table = -1
 
-func (g *gateway) bound() bool { return !slices.Contains(g.binds, unbound) }
+func (g *gateway) bound() bool { return len(g.binds) > 0 && !slices.Contains(g.binds, unbound) }
 
 // join takes a gateway in. One that connects twice under one name is one gateway: the later connection stands and
 // the earlier is closed, since the later one knows best that the earlier is dead.
--- /dev/null
+++ b/front/files/files_test.go
@@ -0,0 +1,185 @@
+package files_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"porthub/client"
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/front/files"
+	"porthub/tables"
+)
+
+func publication(n, lines int) coordinator.Publish {
+	c := tables.Cluster{Kind: "view"}
+	for i := range lines {
+		c.Lines = append(c.Lines, tables.Line{Backend: control.Backend(fmt.Sprintf("127.0.0.1:%d", i+1)), Zone: "a", Weight: float64(n + 1)})
+	}
+	c.Sort()
+	v := fmt.Sprintf("e.%d", n)
+	return coordinator.Publish{Gateway: "gw", Version: v, Nonce: v, Snapshot: tables.Snapshot{Clusters: []tables.Cluster{c},
+		Routes: []tables.Route{{Kind: "view", Rate: float64(n + 1), Share: 1}}}, Changed: [2]bool{true, true}}
+}
+
+func open(t *testing.T, dir string) (*files.Front, func() []error) {
+	t.Helper()
+	var mu sync.Mutex
+	var errs []error
+	f, err := files.Open(dir, 3, func(_ coordinator.Gateway, err error) { mu.Lock(); defer mu.Unlock(); errs = append(errs, err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f, func() []error { mu.Lock(); defer mu.Unlock(); return errs }
+}
+
+func within(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+	}
+}
+
+// Large files are replaced over and over while slow readers are in the middle of them: each reads one whole version,
+// and versions never go back.
+func TestNoReaderSeesHalfAFile(t *testing.T) {
+	dir := t.TempDir()
+	f, _ := open(t, dir)
+	const rounds, lines = 150, 1500
+	stop := make(chan struct{})
+	var readers sync.WaitGroup
+	for r := range 3 {
+		readers.Add(1)
+		go func() {
+			defer readers.Done()
+			reader := client.NewReader(dir, "gw")
+			reader.Chunk, reader.Pause = 4096<<r, 50*time.Microsecond
+			var held client.Held
+			last := -1
+			for {
+				for _, u := range reader.Look() {
+					if u.Err != nil {
+						t.Errorf("a partial table: %v", u.Err)
+					}
+					held.Apply(u)
+					if u.Doc.Clusters == nil {
+						continue
+					}
+					var n int
+					_, _ = fmt.Sscanf(u.Doc.Version, "e.%d", &n)
+					if len(u.Doc.Clusters[0].Lines) != lines || u.Doc.Clusters[0].Lines[0].Weight != float64(n+1) || n < last {
+						t.Errorf("version %d after %d with %d lines", n, last, len(u.Doc.Clusters[0].Lines))
+					}
+					last = n
+				}
+				select {
+				case <-stop:
+					if held.Reads == 0 {
+						t.Error("nothing was read")
+					}
+					return
+				default:
+				}
+			}
+		}()
+	}
+	for n := range rounds {
+		f.Publish(publication(n, lines))
+		time.Sleep(4 * time.Millisecond)
+	}
+	last := client.NewReader(dir, "gw")
+	within(t, "the last version", func() bool {
+		for _, u := range last.Look() {
+			if u.Doc.Version == fmt.Sprintf("e.%d", rounds-1) {
+				return true
+			}
+		}
+		return false
+	})
+	close(stop)
+	readers.Wait()
+}
+
+// What a writer killed before its rename has left is swept; whole files stay.
+func TestSweep(t *testing.T) {
+	dir := t.TempDir()
+	f, _ := open(t, dir)
+	f.Publish(publication(1, 3))
+	path := filepath.Join(dir, "gw", files.RouteFile)
+	within(t, "files", func() bool { _, err := os.Stat(path); return err == nil })
+	for _, left := range []string{".eds.json1234", ".rds.json99"} {
+		if err := os.WriteFile(filepath.Join(dir, "gw", left), []byte(`{"versi`), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n, err := files.Sweep(dir); n != 2 || err != nil {
+		t.Errorf("swept %d, %v", n, err)
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Error(err)
+	}
+}
+
+// A file that would say the same is not written again.
+func TestSameIsNotWritten(t *testing.T) {
+	f, _ := open(t, t.TempDir())
+	f.Publish(publication(1, 3))
+	within(t, "both files", func() bool { return f.Stats().Files == 2 })
+	f.Publish(publication(1, 3))
+	within(t, "both found the same", func() bool { return f.Stats().Same == 2 })
+	if n := f.Stats().Files; n != 2 {
+		t.Errorf("%d files written", n)
+	}
+}
+
+// A folder that vanished is made again; where it can't be (a file stands there, as a full disk would refuse too) the
+// failure is told, the rest is served, and it is written once the way is free.
+func TestFolderThatVanishes(t *testing.T) {
+	dir := t.TempDir()
+	f, errs := open(t, dir)
+	f.Publish(publication(1, 3))
+	within(t, "the first", func() bool { return f.Stats().Files == 2 })
+	if err := os.RemoveAll(filepath.Join(dir, "gw")); err != nil {
+		t.Fatal(err)
+	}
+	f.Publish(publication(2, 3))
+	within(t, "the second", func() bool { return f.Stats().Files == 4 })
+	if err := os.RemoveAll(filepath.Join(dir, "gw")); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "gw"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.Publish(publication(3, 3))
+	other := publication(1, 3)
+	other.Gateway = "other"
+	f.Publish(other)
+	within(t, "the failure told and the other one served", func() bool { return len(errs()) > 0 && f.Stats().Files == 6 })
+	if err := os.Remove(filepath.Join(dir, "gw")); err != nil {
+		t.Fatal(err)
+	}
+	within(t, "the third, by itself", func() bool { return f.Stats().Files == 8 })
+	bad := publication(1, 1)
+	bad.Gateway = "../elsewhere"
+	f.Publish(bad)
+	within(t, "a name that is no folder", func() bool {
+		for _, err := range errs() {
+			if strings.Contains(err.Error(), "can't name a folder") {
+				return true
+			}
+		}
+		return false
+	})
+	if _, err := os.Stat(filepath.Join(dir, "..", "elsewhere")); !errors.Is(err, os.ErrNotExist) {
+		t.Error("it was written outside")
+	}
+}
--- /dev/null
+++ b/xds/xds_test.go
@@ -0,0 +1,113 @@
+package xds
+
+import (
+	"errors"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"google.golang.org/protobuf/proto"
+
+	"porthub/tables"
+)
+
+func encoded(t *testing.T, m proto.Message, err error) []byte {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// What is written is what is read: lines, weights, what is withheld, levels and second tries.
+func TestDocumentsThereAndBack(t *testing.T) {
+	clusters := []tables.Cluster{{Kind: "view", Lines: []tables.Line{{Backend: "127.0.0.1:1", Zone: "a", Weight: 0.25},
+		{Backend: "127.0.0.1:2", Zone: "a", Weight: 1, Withheld: true}, {Backend: "[::1]:3", Zone: "b", Weight: 3.5}}}, {Kind: "save"}}
+	m, err := Endpoints("v1", "n1", clusters)
+	text := encoded(t, m, err)
+	d, err := Read(text)
+	if err != nil || d.Version != "v1" || d.Nonce != "n1" || !reflect.DeepEqual(d.Clusters, clusters) {
+		t.Errorf("%+v, %v", d, err)
+	}
+	for _, rate := range []float64{tables.Unlimited, 0, 0.37, 1, 7.5, 333, 12345} {
+		for second := range 4 {
+			routes := []tables.Route{{Kind: "view", Rate: rate, Share: 1, SecondTry: second, Timeout: 2_500_000}, {Kind: "save", Rate: -1, Share: 0.25}}
+			m, err := RouteDocument("v2", "n2", routes)
+			d, err := Read(encoded(t, m, err))
+			if err != nil || len(d.Routes) != 2 {
+				t.Fatalf("%+v, %v", d, err)
+			}
+			got := d.Routes[0]
+			if got.SecondTry != second || got.Timeout != 2_500_000 || math.Abs(got.Rate-rate) > 0.01*math.Abs(rate) {
+				t.Errorf("rate %v, second try %d: read %+v", rate, second, got)
+			}
+			if d.Routes[1].Share != 0.25 {
+				t.Errorf("share read as %v", d.Routes[1].Share)
+			}
+		}
+	}
+	// Every text that is cut short is refused, wherever it is cut.
+	for n := range len(text) {
+		if _, err := Read(text[:n]); !errors.Is(err, ErrNotXDS) && err == nil {
+			t.Fatalf("cut at %d of %d it is taken", n, len(text))
+		}
+	}
+	if _, err := Endpoints("v", "n", []tables.Cluster{{Kind: "k", Lines: []tables.Line{{Backend: "nowhere"}}}}); err == nil {
+		t.Error("a backend without a port is written")
+	}
+}
+
+func TestReportsThereAndBack(t *testing.T) {
+	node := Node{Name: "gw-1", Zone: "a", Standing: true, Weight: 12, Report: 7}
+	kinds := []Kind{{Name: "view", Arrived: 20, Denied: 3, Errored: 2, Endpoints: []Endpoint{
+		{Backend: "127.0.0.1:1", Zone: "a", Tries: 10, Errored: 2, Active: 1, Answer: 150 * time.Millisecond, Loads: map[string]float64{"util": 0.5, "queue": 2}, Loaded: 8},
+		{Backend: "127.0.0.1:2", Zone: "b", Tries: 7, Errored: 7}}}}
+	got, interval, read, err := ReadLoad(Load(node, 2*time.Second, kinds))
+	if err != nil || got != node || interval != 2*time.Second || !reflect.DeepEqual(read, kinds) {
+		t.Errorf("%+v %v %+v %v", got, interval, read, err)
+	}
+	// A plain proxy names no arrivals and no loads.
+	text := `{"node": {"id": "envoy-1", "locality": {"zone": "a"}}, "cluster_stats": [{"cluster_name": "view", "load_report_interval": "1s",
+		"total_dropped_requests": "2", "upstream_locality_stats": [{"locality": {"zone": "a"}, "upstream_endpoint_stats": [
+		{"address": {"socket_address": {"address": "127.0.0.1", "port_value": 1}}, "total_successful_requests": "5", "total_error_requests": "1"}]}]}]}`
+	m := &loadv3.LoadStatsRequest{}
+	if err := Decode([]byte(text), m); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, read, err := ReadLoad(m); err != nil || read[0].Arrived != 8 || read[0].Endpoints[0].Tries != 6 {
+		t.Errorf("%+v %v", read, err)
+	}
+	for _, spoil := range []string{`"5"`, `"1s"`, `"envoy-1"`} {
+		m := &loadv3.LoadStatsRequest{}
+		bad := strings.Replace(text, spoil, map[string]string{`"5"`: `"99999999999"`, `"1s"`: `"1 s"`, `"envoy-1"`: `"a/b"`}[spoil], 1)
+		err := Decode([]byte(bad), m)
+		if err == nil {
+			_, _, _, err = ReadLoad(m)
+		}
+		if !errors.Is(err, ErrNotXDS) {
+			t.Errorf("%s spoilt: %v", spoil, err)
+		}
+	}
+}
+
+func TestOrca(t *testing.T) {
+	for header, want := range map[string]map[string]float64{
+		Orca(0.5, 3): {"util": 0.5, "queue": 3},
+		"TEXT cpu_utilization=0.25,rps_fractional=12,mem=3": {"util": 0.25, "qps": 12},
+		"TEXT cpu_utilization=NaN, named_metrics.queue=-1":  nil,
+		"TEXT cpu_utilization":                              nil,
+		"JSON {}":                                           nil,
+		"":                                                  nil,
+	} {
+		if got := ReadOrca(header); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %v", header, got)
+		}
+	}
+}
