--- /dev/null
+++ b/drill/drill_test.go
@@ -0,0 +1,141 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"porthub/audit"
+	"porthub/config"
+	"porthub/daemon"
+)
+
+// TestMain lets this binary serve as the coordinator's process: it is started again with serve's arguments.
+func TestMain(m *testing.M) {
+	if os.Getenv("PORTHUB_DRILL") == "" {
+		os.Exit(m.Run())
+	}
+	if err := serve(os.Args[1:]); err != nil {
+		os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+func serve(args []string) error {
+	cfg, err := config.Load(args[slices.Index(args, "-c")+1])
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(daemon.Options{Config: cfg})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(args[slices.Index(args, "--addr-file")+1], []byte(d.Addr()), 0o600); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	return d.Run(ctx)
+}
+
+func run(t *testing.T, s Scenario, o Options) Result {
+	t.Helper()
+	o.Exe = []string{os.Args[0]}
+	r, err := Run(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// short is a small fleet's short day with several overlapping troubles, the coordinator killed once.
+func short() Scenario {
+	s := usual()
+	s.Name, s.Seconds, s.Nodes, s.Gateways, s.Reqs = "short", 18, 9, 6, 50
+	s.Rules.Cold = 6_000_000
+	s.Troubles = []Trouble{
+		{What: "crash", At: 2e6, For: 3e6, Part: 0.2},
+		{What: "balancer_crash", At: 6e6, For: 15e5, Size: 1},
+		{What: "answer_lost", At: 7e6, For: 9e6, Part: 1, Size: 0.25},
+		{What: "broken_list", At: 9e6, For: 15e5},
+		{What: "lost_folder", At: 10e6, Part: 0.4},
+		{What: "shrink", At: 11e6, For: 1e6, Size: 1.3, Extra: 1},
+		{What: "counter_down", At: 12e6, For: 3e6, Part: 0.3},
+	}
+	return s
+}
+
+// The short day keeps all rules, no gateway reads half a file, and SIGTERM is obeyed.
+func TestShortDayKeepsTheRules(t *testing.T) {
+	t.Parallel()
+	r := run(t, short(), Options{Seed: 5})
+	for rule, v := range r.Rules {
+		if !v.Kept {
+			t.Errorf("%s broken: %.2f of the limit, %s", rule, v.Nearest, v.Where)
+		}
+	}
+	if r.Partial != 0 || r.Reads < 30 || r.Requests < 500 || r.Service < 0.3 || r.StopMs > 10_000 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// What is spoilt on the way is found, rule by rule: an audit that can't be failed would show nothing.
+func TestEachBrokenRuleIsFound(t *testing.T) {
+	t.Parallel()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for _, rule := range audit.Rules {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s := short()
+			s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool {
+				return t.What != "crash" && t.What != "answer_lost" && t.What != "shrink"
+			})
+			r, err := Run(s, Options{Seed: 5, BreakRule: rule, Exe: []string{os.Args[0]}})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if r.Rules[rule].Kept || r.Held() {
+				t.Errorf("%s was spoilt and passes: %+v", rule, r.Rules)
+			}
+		}()
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	names, _ := List()
+	if !slices.Contains(names, "bad-day") {
+		t.Errorf("built in: %v", names)
+	}
+	for _, name := range append(names, "only:hang") {
+		if _, err := Load(name); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for text, says := range map[string]string{
+		`{"seconds": 1}`:                                    "3 to 3600 seconds",
+		`{"second": 10}`:                                    "did you mean seconds",
+		`{"troubles": [{"what": "storm"}]}`:                 `there is no "storm"`,
+		`{"troubles": [{"what": "crash", "part": 2}]}`:      "part must be 0 to 1",
+		`{"troubles": [{"what": "zone_cut", "zone": "x"}]}`: `"x" is not one of`,
+	} {
+		path := t.TempDir() + "/s.json"
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); !errors.Is(err, ErrScenario) || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if _, err := Load("only:storm"); !errors.Is(err, ErrScenario) {
+		t.Error(err)
+	}
+}
