--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -140,8 +140,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "\nfile to effect p50 %.1f ms, p99 %.1f ms; answers p50 %.0f ms, p99 %.0f ms; %d files read whole, %d not; coordinator CPU %.2f s, peak %d MiB, stopped in %.0f ms\n",
-		r.Latency.P50, r.Latency.P99, r.Answers.P50, r.Answers.P99, r.Reads, r.Partial, r.CPU, r.PeakKiB/1024, r.StopMs)
+	fmt.Fprintf(out, "\nfile to effect p50 %.1f ms, p99 %.1f ms; answers p50 %.0f ms, p99 %.0f ms; %d files read whole, %d not; coordinator CPU %.2f s, peak %d MiB, stopped in %.0f ms; since its last start %d messages, %d files, %d bytes, step p50 %d us, p99 %d us, most %d us\n",
+		r.Latency.P50, r.Latency.P99, r.Answers.P50, r.Answers.P99, r.Reads, r.Partial, r.CPU, r.PeakKiB/1024, r.StopMs,
+		r.Written.Messages, r.Written.Files, r.Written.Bytes, r.Written.Steps.P50, r.Written.Steps.P99, r.Written.Steps.Most)
 	return nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/renameio/v2"
 	"go.uber.org/zap"
 
@@ -45,6 +46,31 @@
 	probes *prober
 	server *server
 	saves  chan control.List
+	took   *hdrhistogram.Histogram // steps of the core, microseconds; of the loop's goroutine
+}
+
+// Standing is how a running coordinator stands, as GET /tables answers.
+type Standing struct {
+	coordinator.Status
+	Front files.Stats `json:"front"`
+	Steps Times       `json:"step_us"` // of the core
+}
+
+// Times are of a histogram, in microseconds.
+type Times struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P99   int64 `json:"p99"`
+	Most  int64 `json:"most"`
+}
+
+func (d *Daemon) standing(c *coordinator.Core) []byte {
+	text, err := json.Marshal(Standing{c.Status(), d.front.Stats(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50),
+		d.took.ValueAtQuantile(99), d.took.Max()}})
+	if err != nil {
+		return fmt.Appendf(nil, `{"error": %q}`, err)
+	}
+	return text
 }
 
 // event is what the loop takes in at a time.
@@ -66,7 +92,7 @@
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: make(chan event, inboxLength),
-		saves: make(chan control.List, 1)}
+		saves: make(chan control.List, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
 	if d.clock == nil {
 		d.clock = NewClock()
 	}
@@ -199,8 +225,10 @@
 
 // step hands inputs to the core and carries out what comes of it.
 func (d *Daemon) step(inputs []coordinator.Input) {
-	now := d.clock.Now()
-	for _, out := range d.core.Step(now, inputs) {
+	now, began := d.clock.Now(), time.Now()
+	outputs := d.core.Step(now, inputs)
+	_ = d.took.RecordValue(max(1, time.Since(began).Microseconds()))
+	for _, out := range outputs {
 		switch o := out.(type) {
 		case coordinator.Publish:
 			d.front.Publish(o)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -280,7 +279,7 @@
 		}
 		s.hand(p, node, report, func([]byte) { s.answer(p, http.StatusOK, jsonType, text) }, fail)
 	case req.Method == http.MethodGet && req.URL.Path == "/tables":
-		if !s.d.offer(event{query: status, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	default:
@@ -288,14 +287,6 @@
 	}
 }
 
-func status(c *coordinator.Core) []byte {
-	text, err := json.Marshal(c.Status())
-	if err != nil {
-		return []byte(`{"error":` + fmt.Sprintf("%q", err.Error()) + `}`)
-	}
-	return text
-}
-
 // hand gives the core what a gateway said, after its join if these are the connection's first words. A connection
 // keeps the name it began with.
 func (s *server) hand(p *peer, node xds.Node, in coordinator.Input, done func([]byte), fail func(int, string)) {
--- a/drill/run.go
+++ b/drill/run.go
@@ -1,9 +1,10 @@
 package drill
 
 import (
-	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,7 +13,7 @@
 	"time"
 
 	"porthub/audit"
-	"porthub/client"
+	"porthub/daemon"
 	"porthub/standin"
 	"porthub/tables"
 )
@@ -55,10 +56,12 @@
 	P99 float64 `json:"p99"`
 }
 
-// Written is what the file front wrote, by the files that gateways read.
+// Written is what the coordinator did since its last start, by its own count; nothing is judged by it.
 type Written struct {
-	Messages int   `json:"messages"`
-	Bytes    int64 `json:"bytes"`
+	Messages int          `json:"messages"`
+	Files    int          `json:"files"`
+	Bytes    int64        `json:"bytes"`
+	Steps    daemon.Times `json:"step_us"`
 }
 
 // Baseline is how another way of filling tables fared on the same seed.
@@ -153,7 +156,7 @@
 	if coord.err != nil {
 		return res, coord.err
 	}
-	res.Written = written(coord, main)
+	res.Written = written(main)
 	res.Rules = main.log.Judge(end)
 	res.StopMs = float64(coord.end(syscall.SIGTERM).Microseconds()) / 1000
 	res.CPU, res.PeakKiB = coord.cpu.Seconds(), coord.peak
@@ -174,22 +177,21 @@
 	return res, nil
 }
 
-// written asks the coordinator how many messages it has sent, and sizes the files as they stand.
-func written(c *coordinatorProcess, f *fleet) (w Written) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	if s, err := client.Status(ctx, f.address()); err == nil {
-		for _, g := range s.Gateways {
-			w.Messages += g.Published
-		}
+// written asks the coordinator what it has written since its last start, and how long its steps took.
+func written(f *fleet) (w Written) {
+	res, err := (&http.Client{Timeout: 5 * time.Second}).Get("http://" + f.address() + "/tables")
+	if err != nil {
+		return w
 	}
-	_ = c
-	paths, _ := filepath.Glob(filepath.Join(f.dir, "tables", "*", "*.json"))
-	for _, p := range paths {
-		if info, err := os.Stat(p); err == nil {
-			w.Bytes += info.Size()
-		}
+	defer res.Body.Close()
+	var s daemon.Standing
+	if json.NewDecoder(res.Body).Decode(&s) != nil {
+		return w
+	}
+	for _, g := range s.Gateways {
+		w.Messages += g.Published
 	}
+	w.Files, w.Bytes, w.Steps = s.Front.Files, s.Front.Bytes, s.Steps
 	return w
 }
 
