--- /dev/null
+++ b/solver/fleets/measure.go
@@ -0,0 +1,130 @@
+package fleets
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"porthub/solver"
+)
+
+// Measured sums what Solve made of many random fleets; the fields are those that scripts rely on.
+type Measured struct {
+	Fleets   int `json:"fleets"`
+	Feasible int `json:"feasible"` // of them, by how they were drawn
+	// WorstOverload is the largest offered load over a node's limit.
+	WorstOverload float64 `json:"worst_overload"`
+	// Unplaced is the largest part of a feasible fleet's demand that was not placed.
+	Unplaced    float64  `json:"unplaced_when_feasible"`
+	Ratio       *Ratio   `json:"payoff_ratio,omitempty"` // to the exact optimum
+	Ms          Quantile `json:"ms"`
+	Steps       Quantile `json:"steps"`
+	Untouched   int      `json:"untouched"`
+	WorstCase   string   `json:"worst_case"`
+	Optima      int      `json:"optima,omitempty"`       // fleets whose optimum was found
+	LeastServed float64  `json:"least_served_when_shed"` // the smallest part of a kind any user with open nodes was let, over its mean
+}
+
+// Ratio is over all fleets whose optimum was found.
+type Ratio struct {
+	Median float64 `json:"median"`
+	Worst  float64 `json:"worst"`
+}
+
+// Quantile is in the unit its field says.
+type Quantile struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Measure solves so many random fleets of a seed; oracle finds the exact optimum of each as well.
+func Measure(n int, seed uint64, oracle bool) (Measured, error) {
+	m := Measured{Fleets: n, LeastServed: 1}
+	var took, steps, ratios []float64
+	worst := 2.0
+	for i := range n {
+		d := Draw(seed, i)
+		if err := d.Check(); err != nil {
+			return m, err
+		}
+		began := time.Now()
+		s := solver.Solve(d.Fleet, nil)
+		took = append(took, float64(time.Since(began).Microseconds())/1000)
+		steps = append(steps, float64(s.Certificate.Steps))
+		if s.Untouched {
+			m.Untouched++
+		}
+		m.WorstOverload = max(m.WorstOverload, Overload(d.Fleet, s))
+		if d.Fits {
+			m.Feasible++
+			m.Unplaced = max(m.Unplaced, Unplaced(d.Fleet, s))
+		}
+		if oracle {
+			best, err := Optimum(d.Fleet)
+			if err != nil || best <= 0 {
+				continue
+			}
+			m.Optima++
+			r := s.Certificate.Payoff / best
+			if ratios = append(ratios, r); r < worst {
+				worst, m.WorstCase = r, d.Case
+			}
+		}
+	}
+	m.Ms, m.Steps = quantile(took), quantile(steps)
+	if len(ratios) > 0 {
+		slices.Sort(ratios)
+		m.Ratio = &Ratio{Median: ratios[len(ratios)/2], Worst: ratios[0]}
+	}
+	return m, nil
+}
+
+func quantile(v []float64) Quantile {
+	if len(v) == 0 {
+		return Quantile{}
+	}
+	v = slices.Clone(v)
+	slices.Sort(v)
+	return Quantile{v[len(v)/2], v[min(len(v)-1, len(v)*99/100)]}
+}
+
+// Overload is the largest offered load over a node's limit, by the weights and admissions themselves and not by the
+// certificate. Any load on a node that may get none is endless.
+func Overload(f solver.Fleet, s solver.Solution) float64 {
+	limit, load, worst := solver.Limits(f), make([]float64, len(f.Nodes)), 0.0
+	for u := range f.Users {
+		for k, rate := range f.Users[u].Demand {
+			for _, l := range s.Weights[u][k] {
+				cost := 1.0
+				if len(f.Nodes[l.Node].Cost) > 0 {
+					cost = f.Nodes[l.Node].Cost[k]
+				}
+				load[l.Node] += rate * s.Admit[u][k] * l.Weight * cost
+				if rate > 0 && l.Weight > 0 && !slices.Contains(solver.Open(f, u, k), l.Node) {
+					return math.Inf(1)
+				}
+			}
+		}
+	}
+	for j, l := range load {
+		if l > 0 {
+			worst = max(worst, l/limit[j])
+		}
+	}
+	return worst
+}
+
+// Unplaced is the part of all demand that is not served.
+func Unplaced(f solver.Fleet, s solver.Solution) float64 {
+	all, left := 0.0, 0.0
+	for u := range f.Users {
+		for k, rate := range f.Users[u].Demand {
+			sum := 0.0
+			for _, l := range s.Weights[u][k] {
+				sum += l.Weight
+			}
+			all, left = all+rate, left+rate*(1-s.Admit[u][k]*min(1, sum))
+		}
+	}
+	return left / max(all, 1e-12)
+}
--- /dev/null
+++ b/solver/solver_test.go
@@ -0,0 +1,12 @@
+package solver_test
+
+import (
+	"testing"
+
+	"porthub/solver/fleets"
+)
+
+func TestRandom(t *testing.T) {
+	m, err := fleets.Measure(1000, 1, true)
+	t.Logf("%+v %+v %v", m, m.Ratio, err)
+}
