First report after a join counts as one period; a fresh start learns no speeds from a part

Change: the core scales the first report to a period and keeps nodes' figures back for ten seconds at most until 0.95 of the gateways have joined.

--- a/control/control.go
+++ b/control/control.go
@@ -187,6 +187,17 @@
 		Period  Micros
 		Loads   Loads
 	}
+	// HeardKind is the part of a Heard that is of one kind. Hosts that can't tell kinds apart, the bench among them,
+	// give none.
+	HeardKind struct {
+		Zone    Zone
+		Backend Backend
+		Kind    ReqKind
+		Tries   int
+		Errored int
+		Answer  Micros
+		Period  Micros
+	}
 	// Usage sums the reqs of a kind that came to a proxy.
 	Usage struct {
 		Proxy   Proxy
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -28,6 +28,7 @@
 	set     Settings
 	module  *choice.Instance
 	now     micros
+	began   micros // time of the first step
 	steps   uint64
 	timers  []timer
 	orders  []control.Order // of the last step
@@ -73,7 +74,9 @@
 // the last one counts as the last one, so a clock that steps can't undo what was decided.
 func (c *Core) Step(now micros, inputs []Input) []Output {
 	c.now = max(c.now, now)
-	c.steps++
+	if c.steps++; c.steps == 1 {
+		c.began = c.now
+	}
 	c.outputs, c.orders = nil, nil
 	var events []control.Event
 	for _, in := range inputs {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -58,10 +58,17 @@
 		c.complain("report_bad", g.name, "%s: nothing of it is taken", err)
 		return
 	}
+	first := g.seq == 0
 	g.seq = r.Seq
 	if !g.joined {
 		return
 	}
+	if period := c.set.Up.Reports.Period; first && r.Interval > period {
+		// The first report on a connection tells of the time without one as well. The module counts by its rounds: what
+		// came in four seconds would look like four times the traffic.
+		r = r.scaled(float64(period) / float64(r.Interval))
+		r.Interval = period
+	}
 	for _, k := range r.Kinds {
 		kind := c.kinds[k.Kind]
 		u := c.sums.usage[usageKey{g.proxy, kind}]
@@ -89,6 +96,46 @@
 	}
 }
 
+// scaled is a report of the part given of its counts, each rounded so that small ones don't vanish.
+func (r Report) scaled(part float64) Report {
+	scale := func(n int) int { return int(math.Ceil(float64(n) * part)) }
+	kinds := r.Kinds
+	r.Kinds = nil
+	for _, k := range kinds {
+		k.Arrived, k.Denied, k.Errored = scale(k.Arrived), scale(k.Denied), scale(k.Errored)
+		endpoints := k.Endpoints
+		k.Endpoints = nil
+		for _, e := range endpoints {
+			e.Tries = scale(e.Tries)
+			e.Errored = min(e.Tries, scale(e.Errored))
+			k.Endpoints = append(k.Endpoints, e)
+		}
+		r.Kinds = append(r.Kinds, k)
+	}
+	return r
+}
+
+// gathering tells whether a start is so fresh that many gateways have not joined yet. Until then nodes' own figures
+// are kept from the module: they tell of the load from all gateways and the counts only of those that have joined, so
+// that every node would look slow, and levels come on by mistake.
+func (c *Core) gathering() bool {
+	if c.now-c.began > gatherFor {
+		return false
+	}
+	joined := 0
+	for _, g := range c.gateways {
+		if g.joined && c.now-g.joinedAt >= c.set.Up.Reports.Period {
+			joined++
+		}
+	}
+	return float64(joined) < gathered*float64(c.set.Up.Proxies)
+}
+
+const (
+	gatherFor = 10 * second // a gateway dials again within two seconds; those that don't come are away
+	gathered  = 0.95        // as the module has it for what may be away
+)
+
 // sound checks a report's figures.
 func (c *Core) sound(r Report) error {
 	if r.Interval <= 0 || r.Interval > mostInterval {
@@ -125,8 +172,12 @@
 	keys := slices.SortedFunc(maps.Keys(c.sums.heard), func(a, b heardKey) int {
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.backend, b.backend))
 	})
+	gathering := c.gathering()
 	for _, k := range keys {
 		h := c.sums.heard[k]
+		if gathering {
+			h.loads = nil
+		}
 		heard := control.Heard{Zone: k.zone, Backend: k.backend, Tries: h.tries, Errored: h.errored, Period: h.period, Loads: h.loads}
 		if done := h.tries - h.errored; done > 0 {
 			heard.Answer = micros(h.answer / float64(done))
--- a/drill/run.go
+++ b/drill/run.go
@@ -48,6 +48,7 @@
 	Baselines map[string]Baseline      `json:"baselines"`
 	Checks    []Outcome                `json:"checks"`
 	Cells     map[string]float64       `json:"cells"` // service by kind@zone
+	By5s      []float64                `json:"by_5s"` // service of each 5 s
 }
 
 // Latency is in milliseconds.
@@ -69,6 +70,7 @@
 	Service  float64                  `json:"service"`
 	Worst10s float64                  `json:"worst_10s"`
 	Rules    map[string]audit.Verdict `json:"rules"`
+	By5s     []float64                `json:"by_5s"`
 }
 
 // Outcome is how a check came out.
@@ -162,6 +164,7 @@
 	res.CPU, res.PeakKiB = coord.cpu.Seconds(), coord.peak
 	cells, sum := main.tally.Sums()
 	res.Requests, res.Service, res.Worst10s = sum.Reqs, sum.Service(), main.tally.Worst(10)
+	res.By5s = main.tally.Windows(5)
 	for c, s := range cells {
 		res.Cells[c.Kind+"@"+c.Zone] = s.Service()
 	}
@@ -171,7 +174,7 @@
 	res.Reads, res.Partial = main.log.Reads()
 	for _, f := range fleets[1:] {
 		_, sum := f.tally.Sums()
-		res.Baselines[string(f.mode)] = Baseline{sum.Service(), f.tally.Worst(10), f.log.Judge(f.world.Now())}
+		res.Baselines[string(f.mode)] = Baseline{sum.Service(), f.tally.Worst(10), f.log.Judge(f.world.Now()), f.tally.Windows(5)}
 	}
 	res.Checks = checks(s, res, cells)
 	return res, nil
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -171,8 +171,8 @@
 			if len(user.Pod) > 0 {
 				key.pod = user.Pod[k]
 			}
-			s, has := index[key]
-			if !has {
+			s, known := index[key]
+			if !known {
 				s = len(p.sets)
 				index[key] = s
 				p.sets = append(p.sets, p.newSet(key, cross))
@@ -181,7 +181,7 @@
 			if k < len(user.Want) {
 				total := 0.0
 				for _, l := range user.Want[k] {
-					if l.Weight > 0 && p.limit[l.Node] > 0 && slices.Contains(p.sets[s].nodes, l.Node) {
+					if l.Weight > 0 && p.limit[l.Node] > 0 && has(p.sets[s].nodes, l.Node) {
 						d.lines = append(d.lines, l)
 						total += l.Weight
 					}
@@ -245,7 +245,7 @@
 		}
 		total := 0.0
 		for _, l := range user.Want[d.kind] {
-			if l.Weight > 0 && !slices.Contains(p.sets[d.set].nodes, l.Node) {
+			if l.Weight > 0 && !has(p.sets[d.set].nodes, l.Node) {
 				return Solution{}, false
 			}
 			total += l.Weight
@@ -372,3 +372,9 @@
 		p.price[j] = max(0, p.price[j]+move)
 	}
 }
+
+// has finds a node among those of a set, which are in order.
+func has(nodes []int, j int) bool {
+	_, found := slices.BinarySearch(nodes, j)
+	return found
+}
--- a/standin/client.go
+++ b/standin/client.go
@@ -119,6 +119,20 @@
 	return worst
 }
 
+// Windows is the service of each stretch of so many seconds.
+func (t *Tally) Windows(seconds int) (out []float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := 0; i < len(t.windows); i += seconds {
+		var s Sum
+		for _, w := range t.windows[i:min(len(t.windows), i+seconds)] {
+			s = s.plus(w)
+		}
+		out = append(out, s.Service())
+	}
+	return out
+}
+
 // Answers are the times of what was answered, in microseconds, retries included.
 func (t *Tally) Answers() *hdrhistogram.Histogram {
 	t.mu.Lock()
