Solver joined to the coordinator; a gateway's reader is independent of its link

Need: a node over its limit, a cold one over its budget or a kind that fails must not wait for the module's tables. Change: coordinator feeds judge, estimate and keeper once a round and puts what acts in place of tables; half of the messages are left to the module; gateways read in a goroutine of their own; one that waits to be let in gets drains at once.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -467,7 +467,7 @@
 			}
 			late := s.at - max(told, up.from)
 			if used := float64(late) / float64(l.limits.DrainGrace); used > worst {
-				worst, where = used, s.gw+" sent to "+s.node+" "+late.Round(time.Millisecond).String()+" after it was told"
+				worst, where = used, s.gw+" sent to "+s.node+" "+late.Round(time.Millisecond).String()+" after it was told, at "+s.at.Round(time.Millisecond).String()+", joined at "+up.from.Round(time.Millisecond).String()
 			}
 		}
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -33,6 +33,7 @@
 	Gateways    Gateways    `json:"gateways"`
 	Probes      Probes      `json:"probes"`
 	Levels      string      `json:"levels"` // rate, share or off
+	Solver      Solver      `json:"solver"`
 }
 
 // Coordinator is this instance among its like.
@@ -122,6 +123,11 @@
 	AtOnce  int      `json:"at_once"`
 }
 
+// Solver tells whether tables that break limits give way to the weight solver's.
+type Solver struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Default has the value of every key that may be left out.
 func Default() Config {
 	const ms, s = 1000, 1_000_000
@@ -139,6 +145,7 @@
 			SilentAfter: 5 * s},
 		Probes: Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
 		Levels: "rate",
+		Solver: Solver{Enabled: true},
 	}
 }
 
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -21,6 +21,7 @@
 	Epoch       string // names this start; versions of two starts never look alike
 	SilentAfter micros // without a word for so long a gateway counts as away
 	AllowEmpty  bool   // an empty list after one that was not is believed
+	Solver      bool   // tables that break limits give way to the solver's
 }
 
 // Core is one coordinator's state. Its zero value does not work: use New.
@@ -45,6 +46,7 @@
 	levels    map[control.Table]map[control.ReqKind]control.Admit
 	withdrawn map[control.Backend]bool
 
+	solving  *solving // nil: off
 	sums     sums
 	reported bool // a report has been told to the module
 	counts   map[string]*count
@@ -67,6 +69,9 @@
 	c.list.entries = map[control.Backend]control.Entry{}
 	c.list.firstSeen = map[control.Backend]micros{}
 	c.sums.reset()
+	if set.Solver {
+		c.solving = newSolving(len(set.Up.Kinds))
+	}
 	return c
 }
 
@@ -223,12 +228,19 @@
 		}
 	}
 	var events []control.Event
+	var solved map[control.Table]bool
+	if c.solving != nil && c.solving.due {
+		c.solving.due = false
+		solved = c.solve()
+	}
 	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
 		g := c.byProxy[proxy]
 		reached := all || bound[proxy] || c.relisted
 		for _, t := range g.binds {
 			reached = reached || touched[t]
+			g.owed = g.owed || solved[t]
 		}
+		reached = reached || g.owed && c.mayPublish(g)
 		// One that is put out for not acknowledging may well read: drains still go to it.
 		if (g.joined || g.linked && c.relisted) && g.bound() && (reached || g.stale) {
 			events = append(events, c.publish(g, mark)...)
@@ -244,7 +256,11 @@
 	var s tables.Snapshot
 	for k, kind := range c.set.Up.Kinds {
 		table, k := g.binds[k], control.ReqKind(k)
-		s.Clusters = append(s.Clusters, tables.Build(kind.Name, c.lines[table], c.list.zone, func(b control.Backend) bool {
+		weights, admit, acts := c.acting(table, int(k))
+		if !acts {
+			weights = c.lines[table]
+		}
+		s.Clusters = append(s.Clusters, tables.Build(kind.Name, weights, c.list.zone, func(b control.Backend) bool {
 			return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
 		}))
 		r := tables.Route{Kind: kind.Name, Rate: tables.Unlimited, Share: 1, Timeout: kind.ClientTimeout}
@@ -263,6 +279,9 @@
 			}
 			r.SecondTry = a.SecondTry
 		}
+		if c.set.Up.Levels == control.LevelRate {
+			r.Rate = g.cap(int(k), admit, r)
+		}
 		s.Routes = append(s.Routes, r)
 	}
 	return s
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -28,7 +28,7 @@
 }
 
 func newHost(t *testing.T, change func(*Settings)) *host {
-	set := Settings{Epoch: "e", SilentAfter: 3 * second, Up: control.Up{Seed: 1, Instances: 1, Zone: "a", Zones: []control.Zone{"a", "b"},
+	set := Settings{Epoch: "e", SilentAfter: 3 * second, Solver: true, Up: control.Up{Seed: 1, Instances: 1, Zone: "a", Zones: []control.Zone{"a", "b"},
 		Kinds: []control.KindSettings{{Name: "view", Repeat: control.Replayable, ResponseTarget: 750_000, ClientTimeout: 2_500_000, Payoff: 1},
 			{Name: "save", ResponseTarget: 750_000, ClientTimeout: 2_000_000, Payoff: 2}},
 		Rules: control.RuleSettings{EmptyFor: 5 * second, DrainGrace: 3 * second, Cold: 17 * second, ColdFrom: 0.16, TipMultiple: 2.5,
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -30,6 +30,11 @@
 	retryAt   micros
 	retries   int
 
+	usage []float64       // by kind: reqs a second that came to it, half way to the new value with each report
+	caps  map[int]float64 // by kind: rates that the solver's admission came to
+	times []micros        // of messages, for the limit on them
+	owed  bool            // the solver has changed something that has not gone out
+
 	expelled int    // times it was put out for not acknowledging
 	letInAt  micros // not joined again before
 	fresh    bool
@@ -86,7 +91,12 @@
 	}
 	g.conn, g.linked, g.zone, g.heardAt, g.fresh, g.weight = in.Conn, true, in.Zone, c.now, in.Standing, in.Weight
 	g.seq = 0
-	return append(events, c.letIn(g)...)
+	if events = append(events, c.letIn(g)...); !g.joined && g.bound() {
+		// It has to wait for being let in, and what has drained while it was away still stands in its files.
+		g.stale = true
+		events = append(events, c.publish(g, -1)...)
+	}
+	return events
 }
 
 // mostGateways bounds what names alone can cost.
@@ -174,6 +184,7 @@
 	m.changed = [docs]bool{g.stale || !s.SameClusters(g.sent), g.stale || !s.SameRoutes(g.sent)}
 	g.stale = false
 	if m.changed == ([docs]bool{}) {
+		g.owed = false
 		if mark < 0 {
 			return nil
 		}
@@ -184,6 +195,7 @@
 		return []control.Event{control.Applied{Proxy: g.proxy, Mark: mark}}
 	}
 	g.published++
+	g.times, g.owed = append(g.times, c.now), false
 	m.nonce = fmt.Sprintf("%s.%d", c.set.Epoch, g.published)
 	m.version = m.nonce
 	g.sent = s
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -76,11 +76,18 @@
 			u = &control.Usage{Proxy: g.proxy, Kind: kind}
 			c.sums.usage[usageKey{g.proxy, kind}] = u
 		}
+		if len(g.usage) == 0 {
+			g.usage = make([]float64, len(c.set.Up.Kinds))
+		}
+		g.usage[kind] += 0.5 * (float64(k.Arrived)*float64(second)/float64(r.Interval) - g.usage[kind])
 		u.Reqs, u.Errored, u.Period = u.Reqs+k.Arrived, u.Errored+k.Errored, u.Period+r.Interval
 		for _, e := range k.Endpoints {
 			if _, known := c.list.entries[e.Backend]; !known || e.Tries == 0 {
 				continue // its standing table may name what we were never told of
 			}
+			if c.solving != nil {
+				c.solving.hear(g.zone, kind, e, r.Interval)
+			}
 			key := heardKey{g.zone, e.Backend}
 			h := c.sums.heard[key]
 			if h == nil {
@@ -173,6 +180,9 @@
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.backend, b.backend))
 	})
 	gathering := c.gathering()
+	if c.solving != nil {
+		c.closeRound(gathering)
+	}
 	for _, k := range keys {
 		h := c.sums.heard[k]
 		if gathering {
--- /dev/null
+++ b/coordinator/solving.go
@@ -0,0 +1,315 @@
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"porthub/control"
+	"porthub/solver"
+	"porthub/tables"
+)
+
+// solving joins the solver to the core. The module's tables pass untouched while they keep every limit; package solver
+// decides when they don't and what acts instead. Here is only what it is told and what becomes of its answer.
+type solving struct {
+	judge    *solver.Judge
+	estimate *solver.Estimate
+	keeper   *solver.Keeper
+	heard    map[kindKey]*control.HeardKind // since the last round
+	busy     map[control.Backend]float64    // the nodes' own word, the last of this round
+	since    micros
+	acts     map[solver.Key]solver.Table
+	round    solver.Round
+	due      bool // a round of reports has ended and the module has not been asked since
+	starts   map[control.Backend]micros
+}
+
+type kindKey struct {
+	zone    control.Zone
+	backend control.Backend
+	kind    control.ReqKind
+}
+
+func newSolving(kinds int) *solving {
+	return &solving{judge: solver.NewJudge(kinds), estimate: solver.NewEstimate(kinds), keeper: solver.NewKeeper(),
+		heard: map[kindKey]*control.HeardKind{}, busy: map[control.Backend]float64{}, starts: map[control.Backend]micros{}}
+}
+
+// hear takes in what a report said of one node and kind.
+func (s *solving) hear(zone control.Zone, kind control.ReqKind, e EndpointReport, interval micros) {
+	key := kindKey{zone, e.Backend, kind}
+	h := s.heard[key]
+	if h == nil {
+		h = &control.HeardKind{Zone: zone, Backend: e.Backend, Kind: kind}
+		s.heard[key] = h
+	}
+	if done := e.Tries - e.Errored; done > 0 {
+		before := h.Tries - h.Errored
+		h.Answer = (h.Answer*micros(before) + e.Answer*micros(done)) / micros(before+done)
+	}
+	h.Tries, h.Errored, h.Period = h.Tries+e.Tries, h.Errored+e.Errored, max(h.Period, interval)
+	if busy, told := e.Loads["busy"]; told {
+		s.busy[e.Backend] = busy
+	}
+}
+
+// closeRound judges and learns from what was heard since the last round.
+func (c *Core) closeRound(gathering bool) {
+	s := c.solving
+	seconds := float64(c.now-s.since) / float64(second)
+	s.since, s.due = c.now, true
+	keys := slices.SortedFunc(maps.Keys(s.heard), func(a, b kindKey) int {
+		return cmp.Or(cmp.Compare(a.backend, b.backend), cmp.Compare(a.zone, b.zone), cmp.Compare(a.kind, b.kind))
+	})
+	var heard []control.HeardKind
+	byNode := map[control.Backend][]control.HeardKind{}
+	for _, k := range keys {
+		heard = append(heard, *s.heard[k])
+		byNode[k.backend] = append(byNode[k.backend], *s.heard[k])
+	}
+	var ready []control.Backend
+	for _, e := range c.present() {
+		if s.starts[e.Backend] != e.Launched { // another process under its name
+			s.starts[e.Backend] = e.Launched
+			s.judge.Forget(e.Backend)
+		}
+		if e.Status == control.Ready {
+			ready = append(ready, e.Backend)
+		}
+		if busy, told := s.busy[e.Backend]; told && !gathering && seconds < 5 {
+			s.estimate.Round(e.Backend, seconds, busy, c.warmth(e) == 1, byNode[e.Backend])
+		}
+	}
+	for _, line := range s.judge.Round(c.now, heard, ready) {
+		c.out(Note{Level: Info, Event: "solver", Text: line})
+	}
+	clear(s.heard)
+	clear(s.busy)
+}
+
+// warmth is the part of its capacity that a node has by the slowest course the rules allow.
+func (c *Core) warmth(e control.Entry) float64 {
+	r := c.set.Up.Rules
+	if e.Launched <= 0 || c.now-e.Launched >= r.Cold {
+		return 1
+	}
+	return r.ColdFrom + (1-r.ColdFrom)*float64(c.now-e.Launched)/float64(r.Cold)
+}
+
+// coldPart of what a cold node can do may be offered to it, as in the module's tables.
+const coldPart = 0.7
+
+// trialPart of its weight is what a node gets of a kind that it failed.
+const trialPart = 0.1
+
+// solve asks the keeper what acts, and returns the tables that something has changed for.
+func (c *Core) solve() map[control.Table]bool {
+	s := c.solving
+	f, hold := c.fleet()
+	if len(f.Users) == 0 || len(f.Nodes) == 0 || f.Check() != nil {
+		return nil
+	}
+	before := maps.Clone(s.acts)
+	s.round = s.keeper.Step(f, hold)
+	for _, line := range s.round.Lines {
+		c.out(Note{Level: Info, Event: "solver", Text: line})
+	}
+	s.acts = maps.Clone(s.round.Tables)
+	changed := map[control.Table]bool{}
+	for key := range union(before, s.acts) {
+		old, was := before[key]
+		now, is := s.acts[key]
+		if was != is || !maps.Equal(old.Weights, now.Weights) || old.Admit != now.Admit {
+			if n, err := strconv.Atoi(key.User); err == nil {
+				changed[control.Table(n)] = true
+			}
+		}
+	}
+	return changed
+}
+
+func union(a, b map[solver.Key]solver.Table) map[solver.Key]bool {
+	all := map[solver.Key]bool{}
+	for k := range a {
+		all[k] = true
+	}
+	for k := range b {
+		all[k] = true
+	}
+	return all
+}
+
+// fleet is what the solver is asked about: the listed nodes, and as users the tables that gateways are bound to, with
+// what their levels let in of what comes to them. hold: a node is on trial for a kind, or kept from one.
+func (c *Core) fleet() (f solver.Fleet, hold bool) {
+	s, kinds := c.solving, c.set.Up.Kinds
+	for _, k := range kinds {
+		kind := solver.Kind{Name: k.Name, Payoff: k.Payoff, OwnZone: k.OwnZone}
+		for _, z := range k.OnlyZones {
+			kind.OnlyZones = append(kind.OnlyZones, string(z))
+		}
+		f.Kinds = append(f.Kinds, kind)
+	}
+	index := map[control.Backend]int{}
+	costs := s.estimate.Costs()
+	for _, e := range c.present() {
+		warm := c.warmth(e)
+		n := solver.Node{Name: string(e.Backend), Zone: string(e.Zone), Pod: int(e.Pod), Capacity: s.estimate.Capacity(e.Backend) * warm,
+			Cost: costs, Closed: e.Status != control.Ready || c.withdrawn[e.Backend]}
+		if warm < 1 {
+			n.Limit = coldPart
+		}
+		for k := range kinds {
+			if v := s.judge.Verdict(e.Backend, k); v != solver.Serves {
+				hold = true
+				if n.Failing == nil {
+					n.Failing = make([]bool, len(kinds))
+				}
+				n.Failing[k] = v == solver.Fails
+			}
+		}
+		index[e.Backend] = len(f.Nodes)
+		f.Nodes = append(f.Nodes, n)
+	}
+	users := map[control.Table]int{}
+	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
+		g := c.byProxy[proxy]
+		if !g.joined || !g.bound() {
+			continue
+		}
+		for k, table := range g.binds {
+			u, has := users[table]
+			if !has {
+				u = len(f.Users)
+				users[table] = u
+				user := solver.User{Name: strconv.Itoa(int(table)), Zone: string(g.zone), Demand: make([]float64, len(kinds)),
+					Want: make([][]solver.Share, len(kinds))}
+				for kind := range kinds {
+					user.Want[kind] = c.want(table, kind, index, &f)
+				}
+				f.Users = append(f.Users, user)
+			}
+			f.Users[u].Demand[k] += g.admitted(k)
+		}
+	}
+	return f, hold
+}
+
+// want is the module's table as the solver has it: ready nodes only, those on trial for the kind by a tenth.
+func (c *Core) want(table control.Table, kind int, index map[control.Backend]int, f *solver.Fleet) (lines []solver.Share) {
+	for _, b := range slices.Sorted(maps.Keys(c.lines[table])) {
+		j, listed := index[b]
+		w := c.lines[table][b]
+		if !listed || w <= 0 || f.Nodes[j].Closed {
+			continue
+		}
+		if c.solving.judge.Verdict(b, kind) == solver.Trial {
+			w *= trialPart
+		}
+		lines = append(lines, solver.Share{Node: j, Weight: w})
+	}
+	return lines
+}
+
+// admitted is what a gateway lets in of what comes to it of a kind, reqs a second.
+func (g *gateway) admitted(kind int) float64 {
+	if kind >= len(g.usage) {
+		return 0
+	}
+	u := g.usage[kind]
+	if kind < len(g.sent.Routes) {
+		r := g.sent.Routes[kind]
+		if u *= r.Share; r.Rate >= 0 {
+			u = min(u, r.Rate)
+		}
+	}
+	return u
+}
+
+// acting puts what acts in the place of a table's weights.
+func (c *Core) acting(table control.Table, kind int) (map[control.Backend]float64, float64, bool) {
+	if c.solving == nil {
+		return nil, 1, false
+	}
+	t, acts := c.solving.acts[solver.Key{User: strconv.Itoa(int(table)), Kind: kind}]
+	if !acts {
+		return nil, 1, false
+	}
+	weights := make(map[control.Backend]float64, len(t.Weights))
+	for name, w := range t.Weights {
+		weights[control.Backend(name)] = w * float64(len(t.Weights)) // about 1 each, as the module's are
+	}
+	return weights, t.Admit, true
+}
+
+// cap is the rate that the solver's admission comes to at a gateway. It stays while it is near what is right.
+func (g *gateway) cap(kind int, admit float64, base tables.Route) float64 {
+	if g.caps == nil {
+		g.caps = map[int]float64{}
+	}
+	if admit >= 1 {
+		delete(g.caps, kind)
+		return base.Rate
+	}
+	usage := 0.0
+	if kind < len(g.usage) {
+		usage = g.usage[kind]
+	}
+	rate := max(0.1, admit*usage)
+	if held, has := g.caps[kind]; has && held > 0.8*rate && held < 1.25*rate {
+		rate = held
+	}
+	g.caps[kind] = rate
+	if base.Rate >= 0 {
+		rate = min(rate, base.Rate)
+	}
+	return rate
+}
+
+// mayPublish tells whether a message that the module does not know of may go to a gateway now: half of its messages
+// and a quarter of the queue are left to the module, which counts on them.
+func (c *Core) mayPublish(g *gateway) bool {
+	r := c.set.Up.Rules
+	g.times = slices.DeleteFunc(g.times, func(at micros) bool { return c.now-at > r.MessageSpan })
+	if r.MessageCap > 0 && len(g.times) >= r.MessageCap/2 {
+		return false
+	}
+	lines := 0.0
+	for _, other := range c.gateways {
+		for _, m := range other.waiting {
+			lines += float64(m.lines) + c.set.Up.Channel.Envelope
+		}
+	}
+	return lines < r.QueueCap/4
+}
+
+// SolverStatus is how the solver stands.
+type SolverStatus struct {
+	Acting      bool                `json:"acting"`
+	Worst       float64             `json:"worst"` // largest load over a limit that the module's tables would bring
+	At          string              `json:"at"`
+	Tables      int                 `json:"tables"` // that act in place of the module's
+	Moved       int                 `json:"moved"`  // in the last round
+	Nodes       []string            `json:"nodes,omitempty"`
+	Certificate *solver.Certificate `json:"certificate,omitempty"`
+	Failing     []string            `json:"failing,omitempty"` // node and kind
+}
+
+func (c *Core) solverStatus() *SolverStatus {
+	if c.solving == nil {
+		return nil
+	}
+	r := c.solving.round
+	st := &SolverStatus{Acting: r.Acting, Worst: r.Worst, At: r.At, Tables: len(c.solving.acts), Moved: r.Moved, Certificate: r.Certificate}
+	for _, e := range c.present() {
+		st.Nodes = append(st.Nodes, string(e.Backend))
+		for k, kind := range c.set.Up.Kinds {
+			if c.solving.judge.Verdict(e.Backend, k) == solver.Fails {
+				st.Failing = append(st.Failing, string(e.Backend)+" "+kind.Name)
+			}
+		}
+	}
+	return st
+}
--- a/coordinator/status.go
+++ b/coordinator/status.go
@@ -31,11 +31,12 @@
 	Steps    uint64          `json:"steps"`
 	Nodes    []control.Entry `json:"nodes"`
 	Gateways []GatewayStatus `json:"gateways"`
+	Solver   *SolverStatus   `json:"solver,omitempty"`
 }
 
 // Status tells how the core stands. It changes nothing.
 func (c *Core) Status() Status {
-	s := Status{Now: c.now, Steps: c.steps}
+	s := Status{Now: c.now, Steps: c.steps, Solver: c.solverStatus()}
 	for _, b := range slices.Sorted(maps.Keys(c.list.entries)) {
 		s.Nodes = append(s.Nodes, c.list.entries[b])
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -249,7 +249,7 @@
 	}
 	r.stop()
 	r.stop = func() {}
-	core := coordinator.New(coordinator.Settings{Up: r.cfg.Up(), Epoch: "library", SilentAfter: control.Micros(r.cfg.Gateways.SilentAfter)})
+	core := coordinator.New(coordinator.Settings{Up: r.cfg.Up(), Epoch: "library", SilentAfter: control.Micros(r.cfg.Gateways.SilentAfter), Solver: true})
 	orders, tables := 0, 0
 	for i, s := range r.steps {
 		// Versions are named after the start; what was acknowledged is the same message.
--- a/solver/fleet.go
+++ b/solver/fleet.go
@@ -108,20 +108,20 @@
 // median of the others, as the design has it for what is unheard; 0 is a node that can do nothing.
 func (f *Fleet) limits() (limit []float64, guessed []int) {
 	var known []float64
-	sane := func(n Node) bool { return n.Capacity >= 0 && n.Capacity < 1e12 }
+	sane := func(n Node) bool { return n.Capacity >= 0 && n.Capacity < unlimited }
 	for _, n := range f.Nodes {
 		if sane(n) && n.Capacity > 0 {
 			known = append(known, n.Capacity)
 		}
 	}
-	median := 0.0
+	median := unlimited // of a fleet of which nothing is known nobody can say that it is too full
 	if len(known) > 0 {
 		slices.Sort(known)
 		median = known[len(known)/2]
 	}
 	for j, n := range f.Nodes {
 		c := n.Capacity
-		if !sane(n) || median > 0 && c > 1000*median {
+		if !sane(n) || c > 1000*median {
 			c, guessed = median, append(guessed, j)
 		}
 		if part := n.Limit; part > 0 && part < 1 {
@@ -135,6 +135,8 @@
 	return limit, guessed
 }
 
+const unlimited = 1e9
+
 // cost is the work that a req of a kind takes at a node; what is no number counts as 1.
 func (n *Node) cost(k int) float64 {
 	if len(n.Cost) == 0 || !(n.Cost[k] > 0) || math.IsInf(n.Cost[k], 0) {
--- a/solver/judge.go
+++ b/solver/judge.go
@@ -209,6 +209,13 @@
 	return ""
 }
 
+// Forget drops all that is held against a node: another process under its name is judged anew.
+func (j *Judge) Forget(b control.Backend) {
+	for k := range j.kinds {
+		delete(j.pairs, pair{b, k})
+	}
+}
+
 // Verdict tells how a node stands with a kind.
 func (j *Judge) Verdict(b control.Backend, k int) Verdict {
 	r := j.pairs[pair{b, k}]
--- a/solver/keeper.go
+++ b/solver/keeper.go
@@ -60,9 +60,10 @@
 	return &Keeper{prices: map[string]float64{}, tables: map[Key]Table{}}
 }
 
-// Step takes a round's fleet, the weights wanted in it. broken names what can't wait for load to show: a table that
-// holds a line for a node that fails the kind, or a cold node over its budget.
-func (k *Keeper) Step(f Fleet) Round {
+// Step takes a round's fleet, the weights wanted in it. A table that holds a line for a node that fails the kind, or a
+// cold node over its budget, does not wait for load to show. While hold is set what acts goes on acting: somebody is on
+// trial.
+func (k *Keeper) Step(f Fleet, hold bool) Round {
 	r := Round{}
 	worst, at, urgent := offered(f)
 	r.Worst, r.At = worst, at
@@ -71,7 +72,7 @@
 	} else {
 		k.over = 0
 	}
-	if worst < leaveUnder && urgent == "" {
+	if worst < leaveUnder && urgent == "" && !hold {
 		k.fine++
 	} else {
 		k.fine = 0
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -229,9 +229,9 @@
 
 // follow keeps the link and the files: joins, reads, acknowledges, reports.
 func (g *Gateway) follow(ctx context.Context) {
-	reader := client.NewReader(g.FrontDir, g.Name)
-	reader.Chunk, reader.Pause = g.ReadChunk, g.ReadPause
-	reader.Look() // an earlier process's files are not this one's tables before the coordinator has written anew
+	var owed queue
+	g.ended.Add(1)
+	go func() { defer g.ended.Done(); g.read(ctx, &owed) }()
 	var link *client.Link
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		g.mu.Lock()
@@ -273,7 +273,6 @@
 	pause := time.Duration(0)
 	nextDial := time.Now()
 	nextReport := time.Now().Add(g.Period)
-	var owed []client.Update
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -282,10 +281,6 @@
 			return
 		case <-tick.C:
 		}
-		for _, u := range reader.Look() {
-			g.take(u)
-			owed = append(owed, u)
-		}
 		if link == nil && time.Now().After(nextDial) {
 			if addr := g.Coordinator(); addr != "" {
 				link = client.NewLink(client.Options{Node: xds.Node{Name: g.Name, Zone: g.Zone, Weight: g.Weight}, Coordinator: addr,
@@ -308,18 +303,18 @@
 			}
 		}
 		if link == nil {
-			owed = nil
+			owed.clear()
 			continue
 		}
 		g.mu.Lock()
 		mute, late, held := g.mute, g.late, g.held
 		g.mu.Unlock()
-		for len(owed) > 0 && link != nil {
-			u := owed[0]
-			if mute || time.Since(u.Written) < late {
+		for link != nil {
+			u, is := owed.first()
+			if !is || mute || time.Since(u.Written) < late {
 				break
 			}
-			owed = owed[1:]
+			owed.pop()
 			if err := link.Answer(ctx, u, held); err != nil && !errors.Is(err, client.ErrRefused) {
 				broke()
 			} else if u.Err == nil {
@@ -339,6 +334,55 @@
 	}
 }
 
+// read keeps to the files, whatever the link does: a coordinator that hangs must not keep a gateway from its tables.
+func (g *Gateway) read(ctx context.Context, owed *queue) {
+	reader := client.NewReader(g.FrontDir, g.Name)
+	reader.Chunk, reader.Pause = g.ReadChunk, g.ReadPause
+	reader.Look() // an earlier process's files are not this one's tables before the coordinator has written anew
+	for ctx.Err() == nil {
+		for _, u := range reader.Look() {
+			g.take(u)
+			owed.push(u)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// queue is what is still to be acknowledged.
+type queue struct {
+	mu   sync.Mutex
+	list []client.Update
+}
+
+func (q *queue) push(u client.Update) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.list = append(q.list, u)
+}
+
+func (q *queue) first() (client.Update, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) == 0 {
+		return client.Update{}, false
+	}
+	return q.list[0], true
+}
+
+func (q *queue) pop() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) > 0 {
+		q.list = q.list[1:]
+	}
+}
+
+func (q *queue) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.list = nil
+}
+
 type tracked struct {
 	net.Conn
 	once   sync.Once
