--- a/audit/audit.go
+++ b/audit/audit.go
@@ -295,6 +295,24 @@
 	return l.reads, l.partial
 }
 
+// Busiest is the work that came to the busiest node in its busiest second, over the mean of all nodes that run and all
+// seconds.
+func (l *Log) Busiest() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, all, seconds := 0.0, 0.0, 0.0
+	for _, n := range l.nodes {
+		by := map[int]float64{}
+		for _, a := range n.arrived {
+			by[int(a.at/time.Second)] += a.work
+		}
+		for _, w := range by {
+			most, all, seconds = max(most, w), all+w, seconds+1
+		}
+	}
+	return most / max(all/max(seconds, 1), 1e-9)
+}
+
 // Judge tells how the rules were kept up to the given time.
 func (l *Log) Judge(end time.Duration) map[string]Verdict {
 	l.mu.Lock()
--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -22,6 +22,7 @@
 		front, rule  string
 		asJSON, list bool
 		baselines    bool
+		noSolver     bool
 		keep         string
 	)
 	cmd := &cobra.Command{
@@ -68,7 +69,7 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
 			}
-			o := drill.Options{Seed: seed, Exe: []string{exe}, Front: front, BreakRule: rule, Baselines: baselines, Dir: keep}
+			o := drill.Options{Seed: seed, Exe: []string{exe}, Front: front, BreakRule: rule, Baselines: baselines, NoSolver: noSolver, Dir: keep}
 			if !asJSON {
 				o.Progress = cmd.ErrOrStderr()
 			}
@@ -96,6 +97,7 @@
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
 	cmd.Flags().BoolVar(&list, "list", false, "list scenarios and troubles")
 	cmd.Flags().BoolVar(&baselines, "baselines", true, "run the baselines beside it, same seed")
+	cmd.Flags().BoolVar(&noSolver, "no-solver", false, "let the module's tables pass as they are")
 	cmd.Flags().StringVar(&keep, "keep", "", "use this folder and leave files and logs there")
 	return cmd
 }
--- a/drill/run.go
+++ b/drill/run.go
@@ -25,6 +25,7 @@
 	Front     string   // files
 	BreakRule string
 	Baselines bool
+	NoSolver  bool      // tables pass as the module wants them
 	Progress  io.Writer // a line a second; nil: none
 	Dir       string    // kept if given; else a folder of its own, removed at the end
 }
@@ -47,8 +48,9 @@
 	StopMs    float64                  `json:"stop_ms"` // from SIGTERM to the end
 	Baselines map[string]Baseline      `json:"baselines"`
 	Checks    []Outcome                `json:"checks"`
-	Cells     map[string]float64       `json:"cells"` // service by kind@zone
-	By5s      []float64                `json:"by_5s"` // service of each 5 s
+	Cells     map[string]float64       `json:"cells"`   // service by kind@zone
+	By5s      []float64                `json:"by_5s"`   // service of each 5 s
+	Busiest   float64                  `json:"busiest"` // node over the mean, by work that came
 }
 
 // Latency is in milliseconds.
@@ -134,6 +136,7 @@
 	}
 	defer logs.Close()
 	coord := &coordinatorProcess{f: main, cfg: s.Config(main.dir, "127.0.0.1:0", o.Seed), exe: o.Exe, logs: logs}
+	coord.cfg.Solver.Enabled = !o.NoSolver
 	main.coord = coord
 	spoiler(main, o.BreakRule)
 	if err := coord.start(); err != nil {
@@ -164,6 +167,7 @@
 	res.CPU, res.PeakKiB = coord.cpu.Seconds(), coord.peak
 	cells, sum := main.tally.Sums()
 	res.Requests, res.Service, res.Worst10s = sum.Reqs, sum.Service(), main.tally.Worst(10)
+	res.Busiest = main.log.Busiest()
 	res.By5s = main.tally.Windows(5)
 	for c, s := range cells {
 		res.Cells[c.Kind+"@"+c.Zone] = s.Service()
--- /dev/null
+++ b/solver/fleets/baselines.go
@@ -0,0 +1,149 @@
+package fleets
+
+import (
+	"time"
+
+	"porthub/solver"
+)
+
+// Way is another way of filling tables.
+type Way string
+
+// The ways that Measure compares with.
+const (
+	Even       Way = "even weights"
+	ByCapacity Way = "weights by capacity"
+	AsWanted   Way = "the tables wanted alone"
+)
+
+// Served is the payoff a second that a way of filling tables comes to where nothing is turned away: a node that is
+// offered more than its limit serves its limit, of every kind alike, and one that may not be sent to serves nothing.
+func Served(f solver.Fleet, way Way) float64 {
+	limit := solver.Limits(f)
+	type put struct {
+		u, k, j int
+		x       float64
+	}
+	var puts []put
+	load := make([]float64, len(f.Nodes))
+	for u := range f.Users {
+		for k, rate := range f.Users[u].Demand {
+			weights := map[int]float64{}
+			open := map[int]bool{}
+			for _, j := range solver.Open(f, u, k) {
+				open[j] = true
+				switch way {
+				case Even:
+					weights[j] = 1
+				case ByCapacity:
+					weights[j] = limit[j]
+				}
+			}
+			if way == AsWanted && k < len(f.Users[u].Want) {
+				for _, l := range f.Users[u].Want[k] {
+					if !f.Nodes[l.Node].Closed { // drains are kept by any tables
+						weights[l.Node] += l.Weight
+					}
+				}
+			}
+			total := 0.0
+			for j := range f.Nodes {
+				total += weights[j]
+			}
+			if total == 0 {
+				continue
+			}
+			for j := range f.Nodes {
+				if weights[j] == 0 {
+					continue
+				}
+				x := rate * weights[j] / total
+				if open[j] {
+					puts = append(puts, put{u, k, j, x})
+				}
+				load[j] += x * cost(f, j, k)
+			}
+		}
+	}
+	sum := 0.0
+	for _, p := range puts {
+		part := 1.0
+		if load[p.j] > limit[p.j] {
+			part = limit[p.j] / load[p.j]
+		}
+		sum += p.x * part * f.Kinds[p.k].Payoff
+	}
+	return sum
+}
+
+func cost(f solver.Fleet, j, k int) float64 {
+	if len(f.Nodes[j].Cost) == 0 {
+		return 1
+	}
+	return f.Nodes[j].Cost[k]
+}
+
+// Size is one measurement of Scale.
+type Size struct {
+	Nodes int     `json:"nodes"`
+	Users int     `json:"users"`
+	Kinds int     `json:"kinds"`
+	Use   float64 `json:"use"` // demand over what fits
+	// Cold start, a warm start after one node was lost, and how many weights of how many changed by over 0.15 then.
+	ColdMs    float64 `json:"cold_ms"`
+	ColdSteps int     `json:"cold_steps"`
+	WarmMs    float64 `json:"warm_ms"`
+	WarmSteps int     `json:"warm_steps"`
+	Changed   int     `json:"changed"`
+	Weights   int     `json:"weights"`
+	// Tables that changed, and those that had a line to the lost node.
+	Tables   int     `json:"tables"`
+	Touched  int     `json:"touched"`
+	Overload float64 `json:"overload"`
+}
+
+// Scale measures time and steps on fleets from a hundred nodes and gateways to a thousand and three thousand, calm and
+// overloaded, and what the loss of one node changes.
+func Scale() (sizes []Size) {
+	for _, s := range [][3]int{{100, 100, 3}, {100, 300, 3}, {300, 1000, 3}, {1000, 3000, 8}} {
+		for _, use := range []float64{0.8, 1.5} {
+			f := Large(s[0], s[1], s[2], use)
+			size := Size{Nodes: s[0], Users: s[1], Kinds: s[2], Use: use}
+			began := time.Now()
+			first := solver.Solve(f, nil)
+			size.ColdMs, size.ColdSteps = ms(began), first.Certificate.Steps
+			f.Nodes[0].Closed = true
+			began = time.Now()
+			second := solver.Solve(f, first.Certificate.Prices)
+			size.WarmMs, size.WarmSteps = ms(began), second.Certificate.Steps
+			size.Overload = Overload(f, second)
+			for u := range f.Users {
+				for k := range f.Kinds {
+					before := map[int]float64{}
+					for _, l := range first.Weights[u][k] {
+						before[l.Node] = l.Weight
+					}
+					if before[0] > 0 {
+						size.Touched++
+					}
+					changed := 0
+					for _, l := range second.Weights[u][k] {
+						if old := before[l.Node]; l.Weight < 0.85*old || l.Weight > old/0.85 {
+							changed++
+						}
+						delete(before, l.Node)
+					}
+					changed += len(before)
+					size.Changed, size.Weights = size.Changed+changed, size.Weights+len(second.Weights[u][k])
+					if changed > 0 {
+						size.Tables++
+					}
+				}
+			}
+			sizes = append(sizes, size)
+		}
+	}
+	return sizes
+}
+
+func ms(since time.Time) float64 { return float64(time.Since(since).Microseconds()) / 1000 }
--- a/solver/fleets/draw.go
+++ b/solver/fleets/draw.go
@@ -191,3 +191,52 @@
 		}
 	}
 }
+
+// Large is a fleet of a size, each user with a table of a dozen nodes of its own; use is demand over what fits when
+// spread evenly.
+func Large(nodes, users, kinds int, use float64) solver.Fleet {
+	rng := rand.New(rand.NewPCG(uint64(nodes), uint64(users)))
+	var f solver.Fleet
+	for k := range kinds {
+		f.Kinds = append(f.Kinds, solver.Kind{Name: fmt.Sprintf("kind-%d", k), Payoff: float64(1 + k%3)})
+	}
+	total := 0.0
+	for j := range nodes {
+		n := solver.Node{Name: fmt.Sprintf("node-%d", j), Zone: fmt.Sprintf("z%d", j%3), Pod: 1 + j/9, Capacity: 2 + 4*rng.Float64()}
+		for range kinds {
+			n.Cost = append(n.Cost, 0.16*(0.8+0.4*rng.Float64()))
+		}
+		f.Nodes, total = append(f.Nodes, n), total+n.Capacity
+	}
+	asked := 0.0
+	for u := range users {
+		user := solver.User{Name: fmt.Sprintf("gw-%d", u), Zone: fmt.Sprintf("z%d", u%3)}
+		size := math.Exp(rng.NormFloat64())
+		var lines []solver.Share
+		for len(lines) < min(12, nodes/3) {
+			if j := rng.IntN(nodes/3)*3 + u%3; j < nodes && !containsNode(lines, j) {
+				lines = append(lines, solver.Share{Node: j, Weight: f.Nodes[j].Capacity})
+			}
+		}
+		for range kinds {
+			user.Demand, user.Want = append(user.Demand, size), append(user.Want, lines)
+			asked += size * 0.16
+		}
+		f.Users = append(f.Users, user)
+	}
+	for u := range f.Users {
+		for k := range f.Users[u].Demand {
+			f.Users[u].Demand[k] *= use * total / asked
+		}
+	}
+	return f
+}
+
+func containsNode(lines []solver.Share, j int) bool {
+	for _, l := range lines {
+		if l.Node == j {
+			return true
+		}
+	}
+	return false
+}
--- a/solver/fleets/measure.go
+++ b/solver/fleets/measure.go
@@ -15,14 +15,19 @@
 	// WorstOverload is the largest offered load over a node's limit.
 	WorstOverload float64 `json:"worst_overload"`
 	// Unplaced is the largest part of a feasible fleet's demand that was not placed.
-	Unplaced    float64  `json:"unplaced_when_feasible"`
-	Ratio       *Ratio   `json:"payoff_ratio,omitempty"` // to the exact optimum
-	Ms          Quantile `json:"ms"`
-	Steps       Quantile `json:"steps"`
-	Untouched   int      `json:"untouched"`
-	WorstCase   string   `json:"worst_case"`
-	Optima      int      `json:"optima,omitempty"`       // fleets whose optimum was found
-	LeastServed float64  `json:"least_served_when_shed"` // the smallest part of a kind any user with open nodes was let, over its mean
+	Unplaced  float64  `json:"unplaced_when_feasible"`
+	Ratio     *Ratio   `json:"payoff_ratio,omitempty"` // to the exact optimum
+	Ms        Quantile `json:"ms"`
+	Steps     Quantile `json:"steps"`
+	Untouched int      `json:"untouched"`
+	WorstCase string   `json:"worst_case"`
+	Optima    int      `json:"optima,omitempty"` // fleets whose optimum was found
+	// Shed is the ratio over those fleets in which something had to be turned away.
+	Shed *Ratio `json:"payoff_ratio_when_shed,omitempty"`
+	// Ways are the ratios of other ways of filling tables on the same fleets.
+	Ways map[Way]*Ratio `json:"ways,omitempty"`
+	// LeastLetIn is the smallest part of its demand of a kind that any user with an open node was let have.
+	LeastLetIn float64 `json:"least_let_in"`
 }
 
 // Ratio is over all fleets whose optimum was found.
@@ -37,10 +42,12 @@
 	P99 float64 `json:"p99"`
 }
 
-// Measure solves so many random fleets of a seed; oracle finds the exact optimum of each as well.
-func Measure(n int, seed uint64, oracle bool) (Measured, error) {
-	m := Measured{Fleets: n, LeastServed: 1}
-	var took, steps, ratios []float64
+// Measure solves so many random fleets of a seed. Oracle finds the exact optimum of each as well; compare fills them in
+// other ways, held against the optimum, or against ours where none is asked for.
+func Measure(n int, seed uint64, oracle, compare bool) (Measured, error) {
+	m := Measured{Fleets: n, LeastLetIn: 1}
+	var took, steps, ratios, shed []float64
+	ways := map[Way][]float64{}
 	worst := 2.0
 	for i := range n {
 		d := Draw(seed, i)
@@ -59,26 +66,54 @@
 			m.Feasible++
 			m.Unplaced = max(m.Unplaced, Unplaced(d.Fleet, s))
 		}
+		for u := range d.Users {
+			for k, rate := range d.Users[u].Demand {
+				if rate > 0 && len(solver.Open(d.Fleet, u, k)) > 0 {
+					m.LeastLetIn = min(m.LeastLetIn, s.Admit[u][k])
+				}
+			}
+		}
+		best := s.Certificate.Payoff
 		if oracle {
-			best, err := Optimum(d.Fleet)
-			if err != nil || best <= 0 {
+			optimum, err := Optimum(d.Fleet)
+			if err != nil || optimum <= 0 {
 				continue
 			}
 			m.Optima++
-			r := s.Certificate.Payoff / best
+			r := s.Certificate.Payoff / optimum
 			if ratios = append(ratios, r); r < worst {
 				worst, m.WorstCase = r, d.Case
 			}
+			if !d.Fits {
+				shed = append(shed, r)
+			}
+			best = optimum
+		}
+		if compare && best > 0 {
+			for _, way := range []Way{Even, ByCapacity, AsWanted} {
+				ways[way] = append(ways[way], Served(d.Fleet, way)/best)
+			}
 		}
 	}
 	m.Ms, m.Steps = quantile(took), quantile(steps)
-	if len(ratios) > 0 {
-		slices.Sort(ratios)
-		m.Ratio = &Ratio{Median: ratios[len(ratios)/2], Worst: ratios[0]}
+	m.Ratio, m.Shed = ratio(ratios), ratio(shed)
+	for way, r := range ways {
+		if m.Ways == nil {
+			m.Ways = map[Way]*Ratio{}
+		}
+		m.Ways[way] = ratio(r)
 	}
 	return m, nil
 }
 
+func ratio(v []float64) *Ratio {
+	if len(v) == 0 {
+		return nil
+	}
+	slices.Sort(v)
+	return &Ratio{Median: v[len(v)/2], Worst: v[0]}
+}
+
 func quantile(v []float64) Quantile {
 	if len(v) == 0 {
 		return Quantile{}
--- a/solver/solver_test.go
+++ b/solver/solver_test.go
@@ -7,6 +7,6 @@
 )
 
 func TestRandom(t *testing.T) {
-	m, err := fleets.Measure(1000, 1, true)
+	m, err := fleets.Measure(1000, 1, true, false)
 	t.Logf("%+v %+v %v", m, m.Ratio, err)
 }
