--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -168,6 +168,9 @@
 		if _, known := c.list.entries[in.Backend]; known {
 			return []control.Event{in.Probed}
 		}
+	case Refused:
+		c.complain("bad_input", "", "%s: %s", in.From, in.Why)
+		c.counts["bad_input"].n += in.Count - 1
 	case Failed:
 		c.complain("publish_failed", in.Gateway, "%s", in.Why)
 	default:
@@ -185,7 +188,7 @@
 	for _, order := range orders {
 		switch o := order.(type) {
 		case control.Log:
-			c.out(Note{Level: Info, Event: "mode", Text: o.Text})
+			c.out(mode(o.Text))
 		case control.Watch:
 			c.out(Watch{o.On})
 		case control.Fetch:
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -451,6 +451,22 @@
 	}
 }
 
+// Each form of the module's lines becomes a record with its figures.
+func TestModeLines(t *testing.T) {
+	for text, want := range map[string]Note{
+		"levels on: true, 479.2 reqs a second asked, 428.3 can be done": {Event: "levels", Fields: []Field{{"on", true}, {"asked", 479.2}, {"can", 428.3}}},
+		"1.2.3.4:5 sick from a: of about 13 tries in a row none was done": {Event: "sick",
+			Fields: []Field{{"node", "1.2.3.4:5"}, {"zone", "a"}, {"tries", 13.0}}},
+		"sick marks of b passed over: false, 3 of 9 reqs a second well": {Event: "passed_over",
+			Fields: []Field{{"zone", "b"}, {"on", false}, {"well", 3.0}, {"of", 9.0}}},
+		"something new": {Event: "mode"},
+	} {
+		if got := mode(text); got.Event != want.Event || !reflect.DeepEqual(got.Fields, want.Fields) || got.Text != text {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
 // Complaints come once a period, with their number.
 func TestComplaintsAreHeldBack(t *testing.T) {
 	h := newHost(t, nil)
--- a/coordinator/io.go
+++ b/coordinator/io.go
@@ -52,6 +52,12 @@
 	}
 	// Probed is the finding of a probe.
 	Probed struct{ control.Probed }
+	// Refused says that peers were answered with an error, Count times since the last one of these.
+	Refused struct {
+		From  string
+		Why   string
+		Count int
+	}
 	// Failed says that a document could not be handed over; the front tries again by itself.
 	Failed struct {
 		Gateway Gateway
@@ -125,6 +131,7 @@
 		Gateway Gateway
 		Backend control.Backend
 		Count   int // of the same since the last such record
+		Fields  []Field
 	}
 )
 
--- /dev/null
+++ b/coordinator/mode.go
@@ -0,0 +1,46 @@
+package coordinator
+
+import (
+	"regexp"
+	"strconv"
+)
+
+// Field is one figure or name of a record.
+type Field struct {
+	Key   string
+	Value any // string, float64 or bool
+}
+
+// modes are the forms of the module's log lines: what the record is called and what its parts are.
+var modes = []struct {
+	event string
+	form  *regexp.Regexp
+	keys  []string
+}{
+	{"levels", regexp.MustCompile(`^levels on: (true|false), ([\d.]+) reqs a second asked, ([\d.]+) can be done$`), []string{"on", "asked", "can"}},
+	{"sick", regexp.MustCompile(`^(\S+) sick from (\S+): of about (\d+) tries in a row none was done$`), []string{"node", "zone", "tries"}},
+	{"passed_over", regexp.MustCompile(`^sick marks of (\S+) passed over: (true|false), (\d+) of (\d+) reqs a second well$`),
+		[]string{"zone", "on", "well", "of"}},
+}
+
+// mode reads a line of the module into a record. A line of another form is a record with its text alone.
+func mode(text string) Note {
+	n := Note{Level: Info, Event: "mode", Text: text}
+	for _, m := range modes {
+		parts := m.form.FindStringSubmatch(text)
+		if parts == nil {
+			continue
+		}
+		n.Event = m.event
+		for i, key := range m.keys {
+			var v any = parts[i+1]
+			if f, err := strconv.ParseFloat(parts[i+1], 64); err == nil {
+				v = f
+			} else if b, err := strconv.ParseBool(parts[i+1]); err == nil {
+				v = b
+			}
+			n.Fields = append(n.Fields, Field{key, v})
+		}
+	}
+	return n
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -263,6 +263,9 @@
 	if n.Count > 1 {
 		fields = append(fields, zap.Int("count", n.Count))
 	}
+	for _, f := range n.Fields {
+		fields = append(fields, zap.Any(f.Key, f.Value))
+	}
 	switch n.Level {
 	case coordinator.Warn:
 		d.log.Warn(n.Event, fields...)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -43,7 +43,20 @@
 	next    atomic.Uint64
 	peers   *xsync.Map[coordinator.Conn, *peer]
 	ended   chan error
-	refused atomic.Int64
+	refused atomic.Int64 // since the core was told
+	toldAt  atomic.Int64 // when, nanoseconds
+}
+
+// refuse counts an error that a peer was answered with, and tells the core once a second at most: one that sends garbage
+// at full speed must not fill the inbox.
+func (s *server) refuse(from, why string) {
+	s.refused.Add(1)
+	now, last := time.Now().UnixNano(), s.toldAt.Load()
+	if now-last < int64(time.Second) || !s.toldAt.CompareAndSwap(last, now) {
+		return
+	}
+	n := int(s.refused.Swap(0))
+	s.d.offer(event{inputs: []coordinator.Input{coordinator.Refused{From: from, Why: why, Count: n}}})
 }
 
 // peer is one connection. Only its event loop touches it, but for out.
@@ -176,7 +189,7 @@
 
 func (s *server) patience(p *peer) gnet.Action {
 	if time.Since(p.partAt) > partWithin {
-		s.refused.Add(1)
+		s.refuse("a request that does not end", p.out.RemoteAddr().String())
 		return gnet.Close
 	}
 	return gnet.None
@@ -184,7 +197,7 @@
 
 // end answers with an error and closes: what follows on the connection can't be told apart.
 func (s *server) end(c gnet.Conn, code int, why string) gnet.Action {
-	s.refused.Add(1)
+	s.refuse(c.RemoteAddr().String(), why)
 	_, _ = c.Write(response(code, "text/plain", []byte(why+"\n"), true))
 	return gnet.Close
 }
@@ -228,7 +241,7 @@
 func (s *server) serve(p *peer, req *http.Request, body []byte) {
 	p.waiting.Store(true)
 	fail := func(code int, why string) {
-		s.refused.Add(1)
+		s.refuse(req.Method+" "+req.URL.Path, why)
 		s.answer(p, code, textType, []byte(why+"\n"))
 	}
 	read := func(m proto.Message) error {
