Versions of tables, pins and rollback, checksums of what gateways hold

Need: operators want a way back to an earlier table that never breaks a rule, and the coordinator must notice a gateway that does not hold what it thinks. The long-poll front is not there yet.

--- a/client/link.go
+++ b/client/link.go
@@ -32,6 +32,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"porthub/coordinator"
+	"porthub/tables"
 	"porthub/xds"
 )
 
@@ -115,6 +116,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.node.Standing = held.EndpointsFrom == ""
+	if l.node.Checksum = 0; held.EndpointsFrom != "" && held.RoutesFrom != "" {
+		l.node.Checksum = tables.Checksum(held.Snapshot)
+	}
 	path, kind, version := xds.EndpointPath, xds.EndpointType, held.EndpointsFrom
 	if u.Doc.Type == xds.RouteType {
 		path, kind, version = xds.RoutePath, xds.RouteType, held.RoutesFrom
--- a/cmd/porthub/commands.go
+++ b/cmd/porthub/commands.go
@@ -152,7 +152,8 @@
 			return w.Flush()
 		},
 	}
-	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:7070", "address of the coordinator")
+	cmd.PersistentFlags().StringVar(&addr, "addr", "127.0.0.1:7070", "address of the coordinator")
+	cmd.AddCommand(versionCommands(&addr)...)
 	cmd.Flags().StringVarP(&output, "output", "o", "table", "table or json")
 	cmd.Flags().StringVar(&only, "gateway", "", "only this gateway")
 	return cmd
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -46,6 +46,8 @@
 	levels    map[control.Table]map[control.ReqKind]control.Admit
 	withdrawn map[control.Backend]bool
 
+	book     *tables.Book
+	later    []Output // of what was done between steps
 	lag      micros   // of confirmations, smoothed over eight
 	unsynced bool     // files go out without a sync
 	solving  *solving // nil: off
@@ -71,6 +73,7 @@
 	c.list.entries = map[control.Backend]control.Entry{}
 	c.list.firstSeen = map[control.Backend]micros{}
 	c.sums.reset()
+	c.book = tables.NewBook(keepVersions, keepFor)
 	if set.Solver {
 		c.solving = newSolving(len(set.Up.Kinds))
 	}
@@ -84,7 +87,7 @@
 	if c.steps++; c.steps == 1 {
 		c.began = c.now
 	}
-	c.outputs, c.orders = nil, nil
+	c.outputs, c.orders, c.later = c.later, nil, nil
 	var events []control.Event
 	for _, in := range inputs {
 		events = append(events, c.input(in)...)
@@ -240,6 +243,11 @@
 			mark, all = o.Mark, all || o.All
 		}
 	}
+	for _, t := range slices.Sorted(maps.Keys(touched)) {
+		if len(c.lines[t]) > 0 {
+			c.book.Put(c.now, t, c.lines[t])
+		}
+	}
 	var events []control.Event
 	var solved map[control.Table]bool
 	if c.solving != nil && c.solving.due {
@@ -276,6 +284,7 @@
 		if !acts {
 			weights = c.lines[table]
 		}
+		weights = c.inForce(g, table, int(k), weights)
 		s.Clusters = append(s.Clusters, tables.Build(kind.Name, weights, c.list.zone, func(b control.Backend) bool {
 			return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
 		}))
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"porthub/control"
+	"porthub/tables"
 )
 
 // host feeds a core its time and plays the gateways: those that answer acknowledge at once.
@@ -484,3 +485,66 @@
 		t.Errorf("%d records in 5 s", records)
 	}
 }
+
+// A pinned table stands though the module moves on; a drain takes its line out all the same, and after the pin all is
+// as the module has it.
+func TestPinnedTables(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	h.pass(10*second, "g1", "g2")
+	before := h.open("g1", "view")
+	pin, err := h.core.Pin(tables.Pin{Scope: tables.Scope{Table: tables.Anything}, Reason: "a quiet night"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.list(append(entries("a", "a1:1", "a2:1", "a3:1"), entries("b", "b1:1", "b2:1")...)...)
+	h.pass(30*second, "g1", "g2")
+	if got := h.open("g1", "view"); !slices.Equal(got, before) || h.notes["pinned"] != 1 {
+		t.Errorf("pinned at %v, holds %v", before, got)
+	}
+	e := append(entries("a", "a1:1", "a2:1", "a3:1"), entries("b", "b1:1", "b2:1")...)
+	e[0].Status = control.Draining
+	h.list(e...)
+	h.pass(2*second, "g1", "g2")
+	for _, g := range []Gateway{"g1", "g2"} {
+		if got := h.open(g, "view"); slices.Contains(got, "a1:1") || len(got) == 0 {
+			t.Errorf("%s may send to %v", g, got)
+		}
+	}
+	if h.notes["pin_overruled"] == 0 {
+		t.Error("staff are not told that the rules overrule the pin")
+	}
+	if _, err := h.core.Unpin(pin.ID, "day"); err != nil {
+		t.Fatal(err)
+	}
+	h.pass(5*second, "g1", "g2")
+	if got := h.open("g1", "view"); !slices.Contains(got, "a3:1") {
+		t.Errorf("unpinned, and still %v", got)
+	}
+}
+
+// A gateway that holds something else than it should, by its own checksum, is sent the whole again, later each time.
+func TestWrongChecksum(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	g := h.core.gateways["g1"]
+	say := func(sum uint64) {
+		h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: g.confirmed[Endpoints].version, Checksum: sum})
+	}
+	before := h.sent["g1"]
+	if say(tables.Checksum(h.held["g1"].Snapshot)); g.retryAt != 0 {
+		t.Error("the right checksum voids belief")
+	}
+	say(12345)
+	h.pass(3*second, "g1", "g2")
+	if h.sent["g1"] != before+1 || h.notes["wrong_checksum"] != 1 {
+		t.Errorf("sent %d times, %v", h.sent["g1"]-before, h.notes)
+	}
+	for range 200 {
+		say(12345)
+		h.pass(100_000, "g1", "g2")
+	}
+	if n := h.sent["g1"] - before; n > 6 {
+		t.Errorf("sent %d times in 20 s to one that never holds it", n)
+	}
+}
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -29,6 +29,7 @@
 	stale     bool // must be published whole even if nothing changed
 	retryAt   micros
 	retries   int
+	wrong     int // checksums in a row that were not what it should hold
 
 	usage []float64       // by kind: reqs a second that came to it, half way to the new value with each report
 	caps  map[int]float64 // by kind: rates that the solver's admission came to
@@ -260,6 +261,7 @@
 	}
 	at := slices.IndexFunc(g.waiting, func(m message) bool { return m.version == in.Version })
 	if at < 0 {
+		c.checked(g, in.Checksum)
 		if in.Version != "" && g.confirmed[in.Doc].version != in.Version && strings.HasPrefix(in.Version, c.set.Epoch+".") {
 			c.complain("unknown_version", g.name, "acknowledged %s %s, which is not on its way to it", in.Doc, in.Version)
 		}
@@ -275,6 +277,9 @@
 	for len(g.waiting) > 0 && g.waiting[0].done() {
 		m := g.waiting[0]
 		g.waiting, g.retries, g.expelled = g.waiting[1:], 0, 0
+		if len(g.waiting) == 0 {
+			defer c.checked(g, in.Checksum)
+		}
 		c.lag += (c.now - m.at - c.lag) / 8
 		if m.mark >= 0 {
 			events = append(events, control.Applied{Proxy: g.proxy, Mark: m.mark, Took: c.now - m.at})
--- a/coordinator/io.go
+++ b/coordinator/io.go
@@ -41,6 +41,8 @@
 		Version string
 		Nonce   string
 		Error   string
+		// Checksum is tables.Checksum of all that the gateway holds; 0: it does not say.
+		Checksum uint64
 	}
 	// Report sums what a gateway did in the last interval.
 	Report struct {
--- /dev/null
+++ b/coordinator/versions.go
@@ -0,0 +1,89 @@
+package coordinator
+
+import (
+	"fmt"
+
+	"porthub/control"
+	"porthub/solver"
+	"porthub/tables"
+)
+
+// How many versions of a table are kept, and for how long.
+const (
+	keepVersions = 64
+	keepFor      = 3600 * second
+)
+
+// Pin holds tables at an earlier state; it is in force from the next step on. A pin without a version or time holds
+// what is in force now.
+func (c *Core) Pin(p tables.Pin) (tables.Pin, error) {
+	if p.Version == 0 && p.At == 0 {
+		p.At = c.now
+	}
+	held, err := c.book.Pin(c.now, p)
+	if err == nil {
+		c.repinned(Note{Level: Warn, Event: "pinned", Text: fmt.Sprintf("%s: %s (pin %d): %s", held.Scope, where(held), held.ID, held.Reason)})
+	}
+	return held, err
+}
+
+// Unpin lets a pin go.
+func (c *Core) Unpin(id int, reason string) (tables.Pin, error) {
+	p, err := c.book.Unpin(id)
+	if err == nil {
+		c.repinned(Note{Level: Warn, Event: "unpinned", Text: fmt.Sprintf("%s (pin %d): %s", p.Scope, p.ID, reason)})
+	}
+	return p, err
+}
+
+func where(p tables.Pin) string {
+	if p.Version > 0 {
+		return fmt.Sprintf("version %d", p.Version)
+	}
+	return fmt.Sprintf("as at %d us", p.At)
+}
+
+// repinned has all gateways' documents held against the pins.
+func (c *Core) repinned(n Note) {
+	c.later = append(c.later, n)
+	for _, g := range c.gateways {
+		g.owed = true
+	}
+}
+
+// inForce is what a gateway is to hold of a table for a kind, with the pins and the rules' mask over it.
+func (c *Core) inForce(g *gateway, table control.Table, kind int, w map[control.Backend]float64) map[control.Backend]float64 {
+	if len(c.book.Pins()) == 0 {
+		return w
+	}
+	held, pin, overruled := c.book.InForce(table, g.zone, w, func(b control.Backend) tables.Standing {
+		e, known := c.list.entries[b]
+		closed := !known || e.Status != control.Ready || c.withdrawn[b]
+		if c.solving != nil && c.solving.judge.Verdict(b, kind) != solver.Serves {
+			closed = true
+		}
+		return tables.Standing{Closed: closed, Now: w[b], Cold: known && c.warmth(e) < 1}
+	})
+	if overruled != "" {
+		c.complain("pin_overruled", "", "pin %d: %s", pin.ID, overruled)
+	}
+	return held
+}
+
+// checked holds what a gateway says it has against what it should have, once nothing is on its way. Where they differ
+// belief is void: the whole is sent, later each time.
+func (c *Core) checked(g *gateway, sum uint64) {
+	if sum == 0 || len(g.waiting) > 0 || !g.joined || g.retryAt > 0 || len(g.sent.Clusters) == 0 {
+		return
+	}
+	if want := tables.Checksum(g.sent); sum == want {
+		g.wrong = 0
+	} else {
+		g.wrong++
+		g.retryAt = c.now + min(second<<min(g.wrong, 5), 30*second)
+		c.complain("wrong_checksum", g.name, "it holds %x, not %x: the whole is sent again", sum, want)
+	}
+}
+
+// Book is the versions and pins of all tables; it must not be changed.
+func (c *Core) Book() *tables.Book { return c.book }
--- /dev/null
+++ b/daemon/operate.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/tables"
+)
+
+// Versions is what GET /tables/versions answers.
+type Versions struct {
+	Now    control.Micros  `json:"now_us"`
+	Pins   []tables.Pin    `json:"pins"`
+	Tables []TableVersions `json:"tables"`
+}
+
+// TableVersions is what is kept of one table.
+type TableVersions struct {
+	Table    control.Table `json:"table"`
+	Zone     control.Zone  `json:"zone,omitempty"` // of the gateways bound to it
+	Gateways int           `json:"gateways"`
+	Versions []VersionOf   `json:"versions"`
+}
+
+// VersionOf is one version of a table.
+type VersionOf struct {
+	Version tables.Version   `json:"version"`
+	At      control.Micros   `json:"at_us"`
+	Lines   []tables.Weighed `json:"lines"`
+}
+
+// PinRequest is the body of POST /tables/pin. Of version and ago_us at most one is set; neither holds what is in force.
+type PinRequest struct {
+	Table   *control.Table `json:"table"`
+	Zone    control.Zone   `json:"zone"`
+	Fleet   bool           `json:"fleet"`
+	Version tables.Version `json:"version"`
+	Ago     control.Micros `json:"ago_us"`
+	Reason  string         `json:"reason"`
+}
+
+// UnpinRequest is the body of POST /tables/unpin.
+type UnpinRequest struct {
+	ID     int    `json:"id"`
+	Reason string `json:"reason"`
+}
+
+// Operated answers a pin or unpin.
+type Operated struct {
+	Pin   tables.Pin `json:"pin"`
+	Error string     `json:"error,omitempty"`
+}
+
+// operation reads an operator's request; what it returns runs in the loop that owns the core.
+func (d *Daemon) operation(req *http.Request, body []byte) (func(*coordinator.Core) []byte, int, error) {
+	read := func(into any) error {
+		dec := json.NewDecoder(bytes.NewReader(body))
+		dec.DisallowUnknownFields()
+		return dec.Decode(into)
+	}
+	switch req.Method + " " + req.URL.Path {
+	case "GET /tables/versions":
+		return func(c *coordinator.Core) []byte { return text(versions(c)) }, 0, nil
+	case "POST /tables/pin":
+		var r PinRequest
+		if err := read(&r); err != nil {
+			return nil, http.StatusBadRequest, err
+		}
+		scopes := 0
+		p := tables.Pin{Scope: tables.Scope{Table: tables.Anything, Zone: r.Zone}, Version: r.Version, Reason: r.Reason}
+		if r.Table != nil {
+			p.Scope.Table = *r.Table
+			scopes++
+		}
+		if r.Zone != "" {
+			scopes++
+		}
+		if r.Fleet {
+			scopes++
+		}
+		if scopes != 1 || r.Version > 0 && r.Ago > 0 || r.Ago < 0 {
+			return nil, http.StatusBadRequest, fmt.Errorf("name one of table, zone and fleet, and at most one of version and ago_us")
+		}
+		return func(c *coordinator.Core) []byte {
+			if r.Ago > 0 {
+				p.At = c.Status().Now - r.Ago
+			}
+			return operated(c.Pin(p))
+		}, 0, nil
+	case "POST /tables/unpin":
+		var r UnpinRequest
+		if err := read(&r); err != nil {
+			return nil, http.StatusBadRequest, err
+		}
+		return func(c *coordinator.Core) []byte { return operated(c.Unpin(r.ID, r.Reason)) }, 0, nil
+	}
+	return nil, http.StatusNotFound, fmt.Errorf("nothing answers %s %s", req.Method, req.URL.Path)
+}
+
+func operated(p tables.Pin, err error) []byte {
+	o := Operated{Pin: p}
+	if err != nil {
+		o.Error = err.Error()
+	}
+	return text(o)
+}
+
+func text(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Appendf(nil, `{"error": %q}`, err)
+	}
+	return b
+}
+
+func versions(c *coordinator.Core) Versions {
+	s := c.Status()
+	v := Versions{Now: s.Now, Pins: c.Book().Pins()}
+	zones, users := map[control.Table]control.Zone{}, map[control.Table]int{}
+	for _, g := range s.Gateways {
+		seen := map[control.Table]bool{}
+		for _, t := range g.Tables {
+			if g.Joined && !seen[t] {
+				zones[t], seen[t] = g.Zone, true
+				users[t]++
+			}
+		}
+	}
+	for _, t := range c.Book().Tables() {
+		one := TableVersions{Table: t, Zone: zones[t], Gateways: users[t]}
+		for _, e := range c.Book().Versions(t) {
+			of := VersionOf{Version: e.Version, At: e.At}
+			of.Lines = tables.Diff(tables.State{}, e.State).Set
+			one.Versions = append(one.Versions, of)
+		}
+		v.Tables = append(v.Tables, one)
+	}
+	return v
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -270,7 +270,7 @@
 			doc = coordinator.Routes
 		}
 		ack := coordinator.Ack{Gateway: coordinator.Gateway(node.Name), Conn: p.id, Doc: doc, Version: m.VersionInfo,
-			Nonce: m.ResponseNonce, Error: m.ErrorDetail.GetMessage()}
+			Nonce: m.ResponseNonce, Error: m.ErrorDetail.GetMessage(), Checksum: node.Checksum}
 		s.hand(p, node, ack, func([]byte) { s.answer(p, http.StatusNotModified, "", nil) }, fail)
 	case req.Method == http.MethodPost && req.URL.Path == xds.LoadPath:
 		m := &loadv3.LoadStatsRequest{}
@@ -295,6 +295,15 @@
 		if !s.d.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
+	case strings.HasPrefix(req.URL.Path, "/tables/"):
+		operate, code, err := s.d.operation(req, body)
+		if err != nil {
+			fail(code, err.Error())
+			return
+		}
+		if !s.d.offer(event{query: operate, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+			fail(http.StatusServiceUnavailable, "busy")
+		}
 	default:
 		fail(http.StatusNotFound, fmt.Sprintf("nothing answers %s %s", req.Method, req.URL.Path))
 	}
--- /dev/null
+++ b/tables/book.go
@@ -0,0 +1,263 @@
+package tables
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"porthub/control"
+)
+
+// Version numbers a table's states, from 1 on; it says nothing about other tables.
+type Version uint64
+
+// Entry is one version of a table.
+type Entry struct {
+	Version Version
+	At      control.Micros // when it came into being
+	State   State
+}
+
+// Book keeps the versions of all tables and what operators have pinned. It is pure: time is handed in.
+type Book struct {
+	keep   int            // versions of a table
+	most   control.Micros // how old they may be, but for the last one
+	tables map[control.Table][]Entry
+	next   map[control.Table]Version
+	pins   []Pin
+	pinned int // numbers pins
+}
+
+// Scope says what a pin holds: a table, all tables of a zone (a group of groups), or the fleet.
+type Scope struct {
+	Table control.Table `json:"table"` // Anything: see Zone
+	Zone  control.Zone  `json:"zone"`  // empty, with Table Anything: the fleet
+}
+
+// Anything stands in a Scope for all tables.
+const Anything control.Table = -1
+
+func (s Scope) String() string {
+	switch {
+	case s.Table != Anything:
+		return fmt.Sprintf("table %d", s.Table)
+	case s.Zone != "":
+		return "zone " + string(s.Zone)
+	default:
+		return "the fleet"
+	}
+}
+
+// narrower orders scopes: a pin of a table goes before one of its zone, that before the fleet's.
+func (s Scope) narrower() int {
+	switch {
+	case s.Table != Anything:
+		return 0
+	case s.Zone != "":
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Pin holds tables at an earlier state: a version of one table, or what all in scope had at a time.
+type Pin struct {
+	ID      int            `json:"id"`
+	Scope   Scope          `json:"scope"`
+	Version Version        `json:"version,omitempty"` // of a table; 0: by time
+	At      control.Micros `json:"at_us,omitempty"`   // the state that was in force then
+	Since   control.Micros `json:"since_us"`
+	Reason  string         `json:"reason"`
+	// held are the versions that the pin holds, found when it was made: what came into being at the same moment but
+	// later is not among them.
+	held map[control.Table]Version
+}
+
+// What goes wrong with pins.
+var (
+	ErrNoVersion = errors.New("no such version")
+	ErrNoReason  = errors.New("a pin needs a reason")
+	ErrNoPin     = errors.New("no such pin")
+)
+
+// NewBook keeps so many versions of each table, for so long.
+func NewBook(keep int, most control.Micros) *Book {
+	return &Book{keep: max(2, keep), most: most, tables: map[control.Table][]Entry{}, next: map[control.Table]Version{}}
+}
+
+// Put says what a table holds from now on; it is a new version if it is not what it held. Versions that are pinned or
+// that pins of a time need are never let go; of the others the oldest are.
+func (b *Book) Put(now control.Micros, table control.Table, w Weights) Version {
+	entries := b.tables[table]
+	var last State
+	if n := len(entries); n > 0 {
+		last = entries[n-1].State
+	}
+	next := last.With(w)
+	if len(entries) > 0 && Diff(last, next).Lines() == 0 {
+		return entries[len(entries)-1].Version
+	}
+	b.next[table]++
+	entries = append(entries, Entry{b.next[table], now, next})
+	needed := b.needed(table)
+	for i := 0; i < len(entries)-1; {
+		if old := now-entries[i].At > b.most; (old || len(entries) > b.keep) && !needed[entries[i].Version] {
+			entries = slices.Delete(entries, i, i+1)
+			continue
+		}
+		i++
+	}
+	b.tables[table] = entries
+	return b.next[table]
+}
+
+// needed are the versions that pins hold.
+func (b *Book) needed(table control.Table) map[Version]bool {
+	needed := map[Version]bool{}
+	for _, p := range b.pins {
+		needed[p.held[table]] = true
+	}
+	return needed
+}
+
+// at is the version that was in force at a time.
+func at(entries []Entry, t control.Micros) (Entry, bool) {
+	for _, e := range slices.Backward(entries) {
+		if e.At <= t {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Tables lists the tables that have versions.
+func (b *Book) Tables() []control.Table { return slices.Sorted(maps.Keys(b.tables)) }
+
+// Versions lists what is kept of a table, the oldest first.
+func (b *Book) Versions(table control.Table) []Entry { return b.tables[table] }
+
+// Get finds a version of a table.
+func (b *Book) Get(table control.Table, v Version) (Entry, error) {
+	for _, e := range b.tables[table] {
+		if e.Version == v {
+			return e, nil
+		}
+	}
+	return Entry{}, fmt.Errorf("%w: table %d has no version %d: %s", ErrNoVersion, table, v, b.has(table))
+}
+
+func (b *Book) has(table control.Table) string {
+	entries := b.tables[table]
+	if len(entries) == 0 {
+		return "it has none"
+	}
+	return fmt.Sprintf("it has %d to %d", entries[0].Version, entries[len(entries)-1].Version)
+}
+
+// Pin holds what is in scope at an earlier state from now on. It takes the place of a pin of the same scope.
+func (b *Book) Pin(now control.Micros, p Pin) (Pin, error) {
+	if p.Reason == "" {
+		return p, ErrNoReason
+	}
+	if p.Scope.Table != Anything {
+		if p.Version > 0 {
+			if _, err := b.Get(p.Scope.Table, p.Version); err != nil {
+				return p, err
+			}
+		} else if _, has := at(b.tables[p.Scope.Table], p.At); !has {
+			return p, fmt.Errorf("%w: nothing is kept of table %d from then: %s", ErrNoVersion, p.Scope.Table, b.has(p.Scope.Table))
+		}
+	} else if p.Version > 0 {
+		return p, fmt.Errorf("%w: versions are a table's own; pin %s by a time", ErrNoVersion, p.Scope)
+	}
+	b.pins = slices.DeleteFunc(b.pins, func(o Pin) bool { return o.Scope == p.Scope })
+	b.pinned++
+	p.ID, p.Since, p.held = b.pinned, now, map[control.Table]Version{}
+	for t, entries := range b.tables {
+		if p.Scope.Table == t && p.Version > 0 {
+			p.held[t] = p.Version
+		} else if e, has := at(entries, p.At); has && (p.Scope.Table == Anything || p.Scope.Table == t) {
+			p.held[t] = e.Version
+		}
+	}
+	b.pins = append(b.pins, p)
+	return p, nil
+}
+
+// Unpin lets a pin go.
+func (b *Book) Unpin(id int) (Pin, error) {
+	i := slices.IndexFunc(b.pins, func(p Pin) bool { return p.ID == id })
+	if i < 0 {
+		return Pin{}, fmt.Errorf("%w: %d", ErrNoPin, id)
+	}
+	p := b.pins[i]
+	b.pins = slices.Delete(b.pins, i, i+1)
+	return p, nil
+}
+
+// Pins lists them, the oldest first.
+func (b *Book) Pins() []Pin { return b.pins }
+
+// Standing is what the rules say of a backend now, whatever an old version holds.
+type Standing struct {
+	Closed bool    // drains, is gone or fails the kind: no line
+	Now    float64 // its weight in the table as the module has it; 0: no line there
+	Cold   bool    // it has at most the weight that it has now, and none if it has none
+}
+
+// InForce is what a table's users are to hold of it: the weights as they are, or those of the narrowest pin with the
+// rules' mask over them. Where nothing of the pinned state is left that the rules allow, the rules win and the
+// weights are as they are; overruled says so. Weights of a pinned state are brought to the scale of now, so that a
+// cold backend's part is no larger than it is now.
+func (b *Book) InForce(table control.Table, zone control.Zone, now Weights,
+	standing func(control.Backend) Standing) (w Weights, pin *Pin, overruled string) {
+	for i := range b.pins {
+		p := &b.pins[i]
+		in := p.Scope.Table == table || p.Scope.Table == Anything && (p.Scope.Zone == "" || p.Scope.Zone == zone)
+		if in && (pin == nil || cmp.Or(cmp.Compare(p.Scope.narrower(), pin.Scope.narrower()), cmp.Compare(pin.ID, p.ID)) < 0) {
+			pin = p
+		}
+	}
+	if pin == nil {
+		return now, nil, ""
+	}
+	old, err := b.Get(table, pin.held[table])
+	if err != nil {
+		return now, pin, fmt.Sprintf("table %d is younger than the pin", table)
+	}
+	w = Weights{}
+	masked, warmThen, warmNow := 0, 0.0, 0.0
+	var cold []control.Backend
+	old.State.each(func(be control.Backend, weight float64) {
+		switch s := standing(be); {
+		case s.Closed:
+			masked++
+		case s.Cold:
+			cold = append(cold, be)
+		default:
+			w[be] = weight
+			if warmThen += weight; s.Now > 0 {
+				warmNow += s.Now
+			} else {
+				warmNow += weight
+			}
+		}
+	})
+	for _, be := range cold {
+		// Its part beside the warm ones must not grow: the weight of now, as the warm ones' has changed.
+		if s := standing(be); s.Now > 0 && warmNow > 0 {
+			w[be] = min(s.Now, s.Now*warmThen/warmNow)
+		} else {
+			masked++
+		}
+	}
+	if warmThen == 0 {
+		return now, pin, fmt.Sprintf("the rules leave no warm line of table %d: it is as the module has it", table)
+	}
+	if masked > 0 {
+		overruled = fmt.Sprintf("%d lines of table %d are masked by the rules", masked, table)
+	}
+	return w, pin, overruled
+}
--- /dev/null
+++ b/tables/version.go
@@ -0,0 +1,163 @@
+package tables
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
+	"porthub/control"
+)
+
+// Weights are a table's: by backend, above 0.
+type Weights map[control.Backend]float64
+
+// State is one state of a table in a persistent tree: a state made from another one shares with it all that is the
+// same. The zero State is empty.
+type State struct{ tree *iradix.Tree[float64] }
+
+// With is the state that holds the weights given; it shares what it can with the one it is made from.
+func (s State) With(w Weights) State {
+	t := s.tree
+	if t == nil {
+		t = iradix.New[float64]()
+	}
+	txn := t.Txn()
+	it := t.Root().Iterator()
+	for key, _, ok := it.Next(); ok; key, _, ok = it.Next() {
+		if w[control.Backend(key)] <= 0 {
+			txn.Delete(key)
+		}
+	}
+	for b, weight := range w {
+		if old, has := t.Get([]byte(b)); weight > 0 && (!has || old != weight) {
+			txn.Insert([]byte(b), weight)
+		}
+	}
+	return State{txn.Commit()}
+}
+
+// Weights are what the state holds.
+func (s State) Weights() Weights {
+	w := Weights{}
+	s.each(func(b control.Backend, weight float64) { w[b] = weight })
+	return w
+}
+
+// Len counts the lines.
+func (s State) Len() int {
+	if s.tree == nil {
+		return 0
+	}
+	return s.tree.Len()
+}
+
+func (s State) each(do func(control.Backend, float64)) {
+	if s.tree == nil {
+		return
+	}
+	it := s.tree.Root().Iterator()
+	for key, weight, ok := it.Next(); ok; key, weight, ok = it.Next() {
+		do(control.Backend(key), weight)
+	}
+}
+
+// Delta is what leads from one state to another: lines set anew or changed, and lines that go, in the order of names.
+type Delta struct {
+	Set  []Weighed
+	Gone []control.Backend
+}
+
+// Weighed is one line of a table.
+type Weighed struct {
+	Backend control.Backend `json:"backend"`
+	Weight  float64         `json:"weight"`
+}
+
+// Lines is what the delta costs in lines.
+func (d Delta) Lines() int { return len(d.Set) + len(d.Gone) }
+
+// Diff is the delta from one state to another.
+func Diff(from, to State) (d Delta) {
+	to.each(func(b control.Backend, weight float64) {
+		if old, has := from.get(b); !has || old != weight {
+			d.Set = append(d.Set, Weighed{b, weight})
+		}
+	})
+	from.each(func(b control.Backend, _ float64) {
+		if _, has := to.get(b); !has {
+			d.Gone = append(d.Gone, b)
+		}
+	})
+	return d
+}
+
+func (s State) get(b control.Backend) (float64, bool) {
+	if s.tree == nil {
+		return 0, false
+	}
+	return s.tree.Get([]byte(b))
+}
+
+// Apply is the state that a delta leads to.
+func (s State) Apply(d Delta) State {
+	t := s.tree
+	if t == nil {
+		t = iradix.New[float64]()
+	}
+	txn := t.Txn()
+	for _, l := range d.Set {
+		txn.Insert([]byte(l.Backend), l.Weight)
+	}
+	for _, b := range d.Gone {
+		txn.Delete([]byte(b))
+	}
+	return State{txn.Commit()}
+}
+
+// published is a weight as documents have it, a whole number; checksums are of what travels.
+func published(w float64) uint64 { return uint64(min(max(1, math.Round(w*PublishedScale)), 1<<31)) }
+
+// PublishedScale is what a weight of 1 becomes in documents.
+const PublishedScale = 10_000
+
+// Checksum is of all that a gateway holds: every line of every cluster and every route, as published. A gateway can
+// compute it for itself from what it has read; the order of lines does not count.
+func Checksum(s Snapshot) uint64 {
+	sum := uint64(0)
+	var buf bytes.Buffer
+	one := func(parts ...any) {
+		buf.Reset()
+		for _, p := range parts {
+			switch p := p.(type) {
+			case string:
+				buf.WriteString(p)
+				buf.WriteByte(0)
+			case uint64:
+				_ = binary.Write(&buf, binary.LittleEndian, p)
+			}
+		}
+		sum += xxhash.Sum64(buf.Bytes())
+	}
+	for _, c := range s.Clusters {
+		one("cluster", c.Kind)
+		for _, l := range c.Lines {
+			withheld := uint64(0)
+			if l.Withheld {
+				withheld = 1
+			}
+			one("line", c.Kind, string(l.Zone), string(l.Backend), published(l.Weight), withheld)
+		}
+	}
+	for _, r := range s.Routes {
+		// Rates travel as tokens in a time and come back within a hundredth: only whether there is one counts.
+		limited := uint64(0)
+		if r.Rate >= 0 {
+			limited = 1
+		}
+		one("route", r.Kind, limited, uint64(math.Round(r.Share*1e4)), uint64(r.SecondTry), uint64(r.Timeout))
+	}
+	return sum
+}
--- a/xds/speak.go
+++ b/xds/speak.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
@@ -30,6 +31,7 @@
 	metaStanding = "standing_table"
 	metaWeight   = "usual_reqs_per_s"
 	metaReport   = "report_number"
+	metaChecksum = "held_checksum"
 
 	metricAnswer  = "answer_ms"
 	metricArrived = "arrived"
@@ -44,10 +46,15 @@
 	Standing bool    // it holds only its standing table
 	Weight   float64 // usual reqs a second
 	Report   uint64  // number of the report that this message carries, from 1
+	Checksum uint64  // of all that it holds (tables.Checksum); 0: it does not say
 }
 
 func (n Node) message() *corev3.Node {
-	meta, _ := structpb.NewStruct(map[string]any{metaStanding: n.Standing, metaWeight: n.Weight, metaReport: float64(n.Report)})
+	fields := map[string]any{metaStanding: n.Standing, metaWeight: n.Weight, metaReport: float64(n.Report)}
+	if n.Checksum != 0 {
+		fields[metaChecksum] = strconv.FormatUint(n.Checksum, 16)
+	}
+	meta, _ := structpb.NewStruct(fields)
 	return &corev3.Node{Id: n.Name, Cluster: "gateways", Locality: &corev3.Locality{Zone: n.Zone}, Metadata: meta,
 		UserAgentName: "porthub"}
 }
@@ -72,6 +79,13 @@
 	if report := meta[metaReport].GetNumberValue(); report > 0 && report < 1<<53 {
 		node.Report = uint64(report)
 	}
+	if text := meta[metaChecksum].GetStringValue(); text != "" {
+		sum, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return Node{}, fmt.Errorf("%w: node.metadata.%s is %q, no number of base 16", ErrNotXDS, metaChecksum, text)
+		}
+		node.Checksum = sum
+	}
 	if math.IsNaN(node.Weight) || node.Weight < 0 || node.Weight > 1e7 {
 		return Node{}, fmt.Errorf("%w: node.metadata.%s is %v", ErrNotXDS, metaWeight, node.Weight)
 	}
--- a/xds/xds.go
+++ b/xds/xds.go
@@ -41,7 +41,7 @@
 )
 
 // WeightScale is what a weight of 1 becomes: the published weights are whole numbers from 1 on.
-const WeightScale = 10_000
+const WeightScale = tables.PublishedScale
 
 // KindHeader is the request header that names a req's kind.
 const KindHeader = "x-request-kind"
