Tests of held polls and deltas, fuzz targets, versions scenario with rollbacks

Need: missed deltas, let-go bases, restarts and ten thousand held polls must be caused. Change: hub tests, two fuzz targets for xDS, a trouble that rolls the fleet back, a scenario whose check is that every gateway converges.

--- a/drill/run.go
+++ b/drill/run.go
@@ -1,6 +1,7 @@
 package drill
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"time"
 
 	"porthub/audit"
+	"porthub/client"
 	"porthub/daemon"
 	"porthub/standin"
 	"porthub/tables"
@@ -46,6 +48,7 @@
 	CPU       float64                  `json:"cpu_s"` // of the coordinator's processes
 	PeakKiB   int64                    `json:"peak_kib"`
 	StopMs    float64                  `json:"stop_ms"` // from SIGTERM to the end
+	Converged float64                  `json:"converged_s,omitempty"`
 	Baselines map[string]Baseline      `json:"baselines"`
 	Checks    []Outcome                `json:"checks"`
 	Cells     map[string]float64       `json:"cells"`   // service by kind@zone
@@ -164,6 +167,11 @@
 	if coord.err != nil {
 		return res, coord.err
 	}
+	for _, c := range s.Checks {
+		if c.Name == "converged_s" {
+			res.Converged = converged(main)
+		}
+	}
 	res.Written = written(main)
 	res.Rules = main.log.Judge(end)
 	res.StopMs = float64(coord.end(syscall.SIGTERM).Microseconds()) / 1000
@@ -187,6 +195,26 @@
 	return res, nil
 }
 
+// converged is how many seconds after the last req every joined gateway holds what it was last given; 10 if it takes
+// longer.
+func converged(f *fleet) float64 {
+	began := time.Now()
+	for time.Since(began) < 10*time.Second {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		s, err := client.Status(ctx, f.address())
+		cancel()
+		all := err == nil && len(s.Gateways) == len(f.gateways)
+		for _, g := range s.Gateways {
+			all = all && g.Joined && g.Waiting == 0
+		}
+		if all {
+			return time.Since(began).Seconds()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return 10
+}
+
 // scratch is where a drill's files stand: in memory if the machine has such a folder, as operators' tables do. A disk
 // that others keep busy would be judged in place of the coordinator; --keep puts them elsewhere.
 func scratch() string {
@@ -237,6 +265,8 @@
 			o.Figure = float64(r.Partial)
 		case c.Name == "orders_p99_ms":
 			o.Figure = r.Latency.P99
+		case c.Name == "converged_s":
+			o.Figure = r.Converged
 		case c.Name == "stop_ms":
 			o.Figure = r.StopMs
 		case c.Name == "over_standing":
--- a/drill/scenario.go
+++ b/drill/scenario.go
@@ -61,7 +61,7 @@
 
 // Check is a figure that a scenario has to reach.
 type Check struct {
-	Name    string  `json:"name"` // service, worst_10s, kind:NAME, partial_reads, orders_p99_ms, over_standing
+	Name    string  `json:"name"` // service, worst_10s, kind:NAME, partial_reads, orders_p99_ms, stop_ms, converged_s, over_standing
 	AtLeast float64 `json:"at_least"`
 	AtMost  float64 `json:"at_most"` // in use where above 0 or where AtLeast is 0
 }
--- a/drill/troubles.go
+++ b/drill/troubles.go
@@ -1,9 +1,12 @@
 package drill
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -11,6 +14,8 @@
 
 	"porthub/audit"
 	"porthub/config"
+	"porthub/control"
+	"porthub/daemon"
 	"porthub/standin"
 )
 
@@ -197,6 +202,18 @@
 				f.gateways[i].Mute(false, 0)
 			}
 		}},
+		"rollback": {"an operator rolls the fleet's tables back by size s, and lets them go after a while", Trouble{For: 5e6, Size: 6}, func(f *fleet, t Trouble, _ *rand.Rand, _ []int) {
+			if f.mode != byCoordinator {
+				return
+			}
+			var o daemon.Operated
+			r := daemon.PinRequest{Fleet: true, Ago: control.Micros(t.Size * 1e6), Reason: "drill"}
+			if f.operate("/tables/pin", r, &o) != nil || o.Error != "" {
+				return // no coordinator, or nothing so old: then there is nothing to roll back
+			}
+			f.sleep(duration(t.For))
+			_ = f.operate("/tables/unpin", daemon.UnpinRequest{ID: o.Pin.ID, Reason: "drill"}, &o)
+		}},
 		"lost_folder": {"the folders of part of the gateways are removed", Trouble{For: 1e6, Part: 0.3}, func(f *fleet, _ Trouble, _ *rand.Rand, gateways []int) {
 			for _, i := range gateways {
 				_ = os.RemoveAll(filepath.Join(f.dir, "tables", f.gateways[i].Name))
@@ -205,6 +222,20 @@
 	}
 }
 
+// operate sends an operator's request to the coordinator.
+func (f *fleet) operate(path string, body, into any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	res, err := (&http.Client{Timeout: 5 * time.Second}).Post("http://"+f.address()+path, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
 // each does something to nodes, and undoes it when the trouble's time is over.
 func (f *fleet) each(nodes []*standin.Node, t Trouble, do, undo func(*standin.Node)) {
 	for _, n := range nodes {
--- /dev/null
+++ b/front/poll/hub_test.go
@@ -0,0 +1,186 @@
+package poll
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/tables"
+	"porthub/xds"
+)
+
+func publication(gw string, n int, lines ...int) coordinator.Publish {
+	c := tables.Cluster{Kind: "view"}
+	for _, i := range lines {
+		c.Lines = append(c.Lines, tables.Line{Backend: control.Backend(fmt.Sprintf("127.0.0.1:%d", i)), Zone: "a", Weight: 1})
+	}
+	c.Sort()
+	v := fmt.Sprintf("e.%d", n)
+	return coordinator.Publish{Gateway: coordinator.Gateway(gw), Version: v, Nonce: v, Snapshot: tables.Snapshot{Clusters: []tables.Cluster{c},
+		Routes: []tables.Route{{Kind: "view", Rate: tables.Unlimited, Share: 1}}}, Changed: [2]bool{true, n == 1}}
+}
+
+type told struct {
+	m   proto.Message
+	err error
+}
+
+func ask(t *testing.T, h *Hub, r Request) (chan told, func()) {
+	t.Helper()
+	ch := make(chan told, 2)
+	r.Answer = func(m proto.Message, err error) { ch <- told{m, err} }
+	cancel, ok := h.Poll(r)
+	if !ok {
+		t.Fatal("turned away")
+	}
+	return ch, cancel
+}
+
+func get(t *testing.T, ch chan told) told {
+	t.Helper()
+	select {
+	case x := <-ch:
+		return x
+	case <-time.After(10 * time.Second):
+		t.Fatal("no answer within 10 s")
+		return told{}
+	}
+}
+
+func TestWholeDocuments(t *testing.T) {
+	h := NewHub(10, 3)
+	r := Request{Gateway: "gw", Doc: coordinator.Endpoints, Hold: time.Minute}
+	ch, _ := ask(t, h, r)
+	h.Publish(publication("other", 1, 1))
+	h.Publish(publication("gw", 1, 1, 2))
+	m := get(t, ch).m.(*discoveryv3.DiscoveryResponse)
+	if m.VersionInfo != "e.1" || h.Stats().Held != 0 {
+		t.Errorf("%v, %+v", m, h.Stats())
+	}
+	r.Version = "e.1"
+	r.Hold = 20 * time.Millisecond
+	ch, _ = ask(t, h, r)
+	if x := get(t, ch); x.m != nil || x.err != nil {
+		t.Errorf("nothing is new, and %v", x)
+	}
+	r.Hold = time.Minute
+	ch, cancel := ask(t, h, r)
+	cancel()
+	h.Publish(publication("gw", 2, 1))
+	select {
+	case x := <-ch:
+		t.Errorf("given up, and answered %v", x)
+	case <-time.After(20 * time.Millisecond):
+	}
+	// Routes have not changed since the first: their poll is held.
+	ch, _ = ask(t, h, Request{Gateway: "gw", Doc: coordinator.Routes, Version: "e.1", Hold: 20 * time.Millisecond})
+	if x := get(t, ch); x.m != nil {
+		t.Errorf("routes are told though they are the same: %v", x.m)
+	}
+}
+
+// Whatever deltas a gateway misses, repeats or gets late, what it makes of them is what was published.
+func TestDeltas(t *testing.T) {
+	h := NewHub(10, 3)
+	kinds := []string{"view"}
+	var held tables.Snapshot
+	nonce := ""
+	take := func(lines map[string]string) told {
+		ch, cancel := ask(t, h, Request{Gateway: "gw", Doc: coordinator.Endpoints, Delta: true, Nonce: nonce, Lines: lines, Hold: time.Millisecond})
+		defer cancel()
+		return get(t, ch)
+	}
+	apply := func(x told) int {
+		t.Helper()
+		d, is := x.m.(*discoveryv3.DeltaDiscoveryResponse)
+		if !is {
+			t.Fatalf("no delta: %v", x)
+		}
+		clusters, err := xds.ApplyDelta(kinds, held, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held.Clusters, nonce = clusters, d.Nonce
+		return len(d.Resources) + len(d.RemovedResources)
+	}
+	same := func(p coordinator.Publish) {
+		t.Helper()
+		if !slices.EqualFunc(held.Clusters, p.Snapshot.Clusters, tables.Cluster.Equal) {
+			t.Fatalf("holds %v, published %v", held.Clusters, p.Snapshot.Clusters)
+		}
+	}
+	p := publication("gw", 1, 1, 2, 3, 4, 5, 6)
+	h.Publish(p)
+	if n := apply(take(nil)); n != 6 {
+		t.Errorf("the first: %d lines", n)
+	}
+	same(p)
+	p = publication("gw", 2, 1, 2, 3, 4, 5, 7)
+	h.Publish(p)
+	take(nil) // lost on the way
+	p = publication("gw", 3, 1, 2, 3, 4, 7)
+	h.Publish(p)
+	if n := apply(take(nil)); n != 3 {
+		t.Errorf("5 and 6 gone, 7 new: %d lines", n)
+	}
+	same(p)
+	if x := take(nil); x.m != nil || x.err != nil {
+		t.Errorf("nothing is new, and %v", x)
+	}
+	for n := 4; n < 12; n++ { // so many that what it stands on is let go
+		p = publication("gw", n, 1, n)
+		h.Publish(p)
+	}
+	if x := take(nil); !errors.Is(x.err, ErrBase) {
+		t.Errorf("from what is let go: %v", x)
+	}
+	apply(take(xds.LineVersions(held)))
+	same(p)
+	// Another start of the coordinator knows nothing of the nonce, nor of lines that are gone.
+	h = NewHub(10, 3)
+	p = publication("gw", 1, 9)
+	h.Publish(p)
+	if x := take(nil); !errors.Is(x.err, ErrBase) {
+		t.Errorf("another start's nonce: %v", x)
+	}
+	apply(take(xds.LineVersions(held)))
+	same(p)
+}
+
+// Ten thousand held polls are woken at once and each is answered once; more than may be held are turned away.
+func TestManyHeldPolls(t *testing.T) {
+	const many = 10_000
+	h := NewHub(many, 2)
+	var answered sync.WaitGroup
+	for i := range many {
+		answered.Add(1)
+		_, ok := h.Poll(Request{Gateway: coordinator.Gateway(fmt.Sprint("gw-", i)), Doc: coordinator.Endpoints, Hold: time.Minute,
+			Answer: func(m proto.Message, err error) {
+				if m == nil || err != nil {
+					t.Errorf("%v, %v", m, err)
+				}
+				answered.Done()
+			}})
+		if !ok {
+			t.Fatal("turned away before the limit")
+		}
+	}
+	if _, ok := h.Poll(Request{Gateway: "one more", Hold: time.Minute, Answer: func(proto.Message, error) {}}); ok || h.Stats().Full != 1 {
+		t.Error("one more than may be is held")
+	}
+	for i := range many {
+		h.Publish(publication(fmt.Sprint("gw-", i), 1, 1, 2))
+	}
+	answered.Wait()
+	if s := h.Stats(); s.Held != 0 || s.Whole != many {
+		t.Errorf("%+v", s)
+	}
+}
--- /dev/null
+++ b/xds/fuzz_test.go
@@ -0,0 +1,74 @@
+package xds
+
+import (
+	"testing"
+
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+
+	"porthub/tables"
+)
+
+// Whatever a document or report holds, reading it ends in values or an error.
+func FuzzRead(f *testing.F) {
+	m, err := Endpoints("v", "n", []tables.Cluster{{Kind: "view", Lines: []tables.Line{{Backend: "127.0.0.1:1", Zone: "a", Weight: 1}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	text, err := Encode(m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	r, err := RouteDocument("v", "n", []tables.Route{{Kind: "view", Rate: 3, Share: 0.5, SecondTry: 2}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	routes, err := Encode(r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{text, routes, text[:len(text)/2], []byte(`{"type_url": "x", "resources": [{}]}`), []byte(`null`), {0xff}} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if d, err := Read(text); err == nil {
+			for _, c := range d.Clusters {
+				for _, l := range c.Lines {
+					if l.Weight < 0 {
+						t.Errorf("weight %v", l.Weight)
+					}
+				}
+			}
+		}
+	})
+}
+
+func FuzzReport(f *testing.F) {
+	text, err := Encode(Load(Node{Name: "gw", Zone: "a", Report: 1}, 1e9, []Kind{{Name: "view", Arrived: 3,
+		Endpoints: []Endpoint{{Backend: "127.0.0.1:1", Zone: "a", Tries: 3, Loads: map[string]float64{"util": 1}, Loaded: 1}}}}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{text, []byte(`{"node": {"id": "x"}, "cluster_stats": [{}]}`), []byte(`{"cluster_stats": [{"upstream_locality_stats": [{}]}]}`)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m := &loadv3.LoadStatsRequest{}
+		if Decode(text, m) != nil {
+			return
+		}
+		_, _, kinds, err := ReadLoad(m)
+		if err != nil {
+			return
+		}
+		for _, k := range kinds {
+			if k.Arrived < 0 || k.Denied < 0 || k.Errored < 0 {
+				t.Errorf("%+v", k)
+			}
+			for _, e := range k.Endpoints {
+				if e.Tries < 0 || e.Errored > e.Tries || e.Answer < 0 {
+					t.Errorf("%+v", e)
+				}
+			}
+		}
+	})
+}
