--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -261,7 +261,9 @@
 	}
 	at := slices.IndexFunc(g.waiting, func(m message) bool { return m.version == in.Version })
 	if at < 0 {
-		c.checked(g, in.Checksum)
+		if in.Version == g.confirmed[in.Doc].version {
+			c.checked(g, in.Checksum)
+		}
 		if in.Version != "" && g.confirmed[in.Doc].version != in.Version && strings.HasPrefix(in.Version, c.set.Epoch+".") {
 			c.complain("unknown_version", g.name, "acknowledged %s %s, which is not on its way to it", in.Doc, in.Version)
 		}
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -315,7 +315,7 @@
 			continue
 		}
 		g.mu.Lock()
-		mute, late, held := g.mute, g.late, g.held
+		mute, late := g.mute, g.late
 		g.mu.Unlock()
 		for link != nil {
 			u, is := owed.first()
@@ -323,6 +323,9 @@
 				break
 			}
 			owed.pop()
+			g.mu.Lock()
+			held := g.held
+			g.mu.Unlock()
 			if err := link.Answer(ctx, u, held); err != nil && !errors.Is(err, client.ErrRefused) {
 				broke()
 			} else if u.Err == nil {
