--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,7 @@
 	Probes      Probes      `json:"probes"`
 	Levels      string      `json:"levels"` // rate, share or off
 	Solver      Solver      `json:"solver"`
+	Limits      Limits      `json:"limits"`
 }
 
 // Coordinator is this instance among its like.
@@ -137,6 +138,13 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Limits bound what peers may cost.
+type Limits struct {
+	Connections int `json:"connections"` // in all
+	PerAddress  int `json:"per_address"` // from one address
+	Requests    int `json:"requests"`    // on one connection; 0: no limit
+}
+
 // Default has the value of every key that may be left out.
 func Default() Config {
 	const ms, s = 1000, 1_000_000
@@ -155,6 +163,7 @@
 		Probes: Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
 		Levels: "rate",
 		Solver: Solver{Enabled: true},
+		Limits: Limits{Connections: 30000, PerAddress: 30000},
 	}
 }
 
@@ -295,6 +304,9 @@
 		fmt.Sprintf("is %d", c.Front.Files.Writers), "it must be 1 to 64")
 	need(c.Front.Poll.Most > 0 && c.Front.Poll.Keep > 0, "front.poll", fmt.Sprintf("most is %d, deltas %d", c.Front.Poll.Most, c.Front.Poll.Keep),
 		"both must be 1 or more")
+	need(c.Limits.Connections > 0 && c.Limits.PerAddress > 0 && c.Limits.Requests >= 0, "limits",
+		fmt.Sprintf("has %d connections, %d from an address, %d requests", c.Limits.Connections, c.Limits.PerAddress, c.Limits.Requests),
+		"connections must be 1 or more, requests 0 or more")
 	need(slices.Contains([]string{"rate", "share", "off"}, c.Levels), "levels", fmt.Sprintf("is %q", c.Levels), "it must be rate, share or off")
 	need(slices.Contains([]string{"debug", "info", "warn", "error"}, c.LogLevel), "log_level",
 		fmt.Sprintf("is %q", c.LogLevel), "it must be debug, info, warn or error")
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -42,7 +43,7 @@
 const threeNodes = `[{"targets": ["127.0.0.1:9001", "127.0.0.1:9002"], "labels": {"zone": "a"}},
 	{"targets": ["127.0.0.1:9003"], "labels": {"zone": "b"}}]`
 
-func newRig(t *testing.T, clock Clock) *rig {
+func newRig(t *testing.T, clock Clock, changes ...func(*config.Config)) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: t.TempDir()}
 	r.write("nodes.json", threeNodes)
@@ -58,6 +59,9 @@
 		t.Fatal(err)
 	}
 	r.cfg = cfg
+	for _, change := range changes {
+		change(&r.cfg)
+	}
 	r.start(clock)
 	t.Cleanup(func() { r.stop() })
 	return r
@@ -413,3 +417,118 @@
 		return again.held.EndpointsFrom != old && again.held.Snapshot.Open("view") > 0 && again.held.Refused == 0
 	})
 }
+
+// More connections than an address may have are turned away with a word, and one is free again when another has ended;
+// a connection that has had its requests is closed.
+func TestLimitsOfConnections(t *testing.T) {
+	r := newRig(t, nil, func(c *config.Config) { c.Limits.PerAddress, c.Limits.Requests = 3, 4 })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", r.d.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	readers := map[net.Conn]*bufio.Reader{}
+	ask := func(c net.Conn) string {
+		if readers[c] == nil {
+			readers[c] = bufio.NewReader(c)
+		}
+		_, _ = io.WriteString(c, "GET /tables/versions HTTP/1.1\r\nHost: x\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(readers[c], nil)
+		if err != nil {
+			return err.Error()
+		}
+		defer res.Body.Close()
+		_, _ = io.Copy(io.Discard, res.Body)
+		return res.Status
+	}
+	first := dial()
+	for i := range 4 {
+		if says := ask(first); !strings.Contains(says, "200") {
+			t.Fatalf("request %d: %q", i, says)
+		}
+	}
+	second, third := dial(), dial()
+	if !strings.Contains(ask(second), "200") || !strings.Contains(ask(third), "200") {
+		t.Error("three may stand, and are not served")
+	}
+	if says := ask(dial()); !strings.Contains(says, "503") {
+		t.Errorf("a fourth connection: %q", says)
+	}
+	if says := ask(first); !strings.Contains(says, "429") {
+		t.Errorf("a fifth request: %q", says)
+	}
+	r.until("room for another", func() bool { return strings.Contains(ask(dial()), "200") })
+}
+
+// A gateway that polls gets tables whole and by deltas, follows a drain, and shares its name with no gateway of files.
+func TestPolls(t *testing.T) {
+	r := newRig(t, nil)
+	node := xds.Node{Name: "gw-1", Zone: "a", Weight: 10, Polls: true}
+	link := client.NewLink(client.Options{Node: node, Coordinator: r.d.Addr()})
+	t.Cleanup(link.Close)
+	if err := link.Join(context.Background(), client.Held{}); err != nil {
+		t.Fatal(err)
+	}
+	poller := client.NewPoller(client.Options{Node: node, Coordinator: r.d.Addr()}, []string{"view", "save"}, time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	var polls sync.WaitGroup
+	t.Cleanup(func() { cancel(); polls.Wait(); poller.Close() })
+	var mu sync.Mutex
+	var held client.Held
+	have := func() client.Held { mu.Lock(); defer mu.Unlock(); return held }
+	for _, routes := range []bool{false, true} {
+		polls.Add(1)
+		go func() {
+			defer polls.Done()
+			poller.Follow(ctx, routes, have, func(u client.Update) {
+				mu.Lock()
+				held.Apply(u)
+				now := held
+				mu.Unlock()
+				if err := link.Answer(ctx, u, now); err != nil && ctx.Err() == nil {
+					t.Error(err)
+				}
+			})
+		}()
+	}
+	report := func() {
+		if _, err := link.Report(context.Background(), 250*time.Millisecond, []xds.Kind{{Name: "view", Arrived: 2}}); err != nil {
+			t.Error(err)
+		}
+	}
+	r.until("tables by polls, confirmed", func() bool {
+		report()
+		s := r.status("gw-1")
+		return have().Snapshot.Open("view") >= 2 && len(have().Snapshot.Routes) == 2 && s.Waiting == 0 && s.Confirmed[0] != ""
+	})
+	if _, err := os.Stat(filepath.Join(r.dir, "tables", "gw-1")); !os.IsNotExist(err) {
+		t.Errorf("it polls, and has files: %v", err)
+	}
+	other := client.NewLink(client.Options{Node: xds.Node{Name: "gw-1", Zone: "a"}, Coordinator: r.d.Addr()})
+	t.Cleanup(other.Close)
+	if err := other.Join(context.Background(), client.Held{}); err == nil || !strings.Contains(err.Error(), "409") {
+		t.Errorf("a file client under the same name: %v", err)
+	}
+	r.write("nodes.json", strings.Replace(threeNodes, `"127.0.0.1:9001", `, "", 1))
+	r.until("a dropped node without a line", func() bool {
+		report()
+		for _, c := range have().Snapshot.Clusters {
+			for _, l := range c.Lines {
+				if l.Backend == "127.0.0.1:9001" && !l.Withheld {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	since := r.status("gw-1").Since
+	link.Close()
+	r.until("a poll takes the link's place", func() bool {
+		s := r.status("gw-1")
+		return s.Joined && s.Since > since
+	})
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +20,7 @@
 
 	"porthub/control"
 	"porthub/coordinator"
+	"porthub/front/http1"
 	"porthub/front/poll"
 	"porthub/xds"
 )
@@ -32,7 +31,6 @@
 	bodyMost   = 4 << 20         // bytes of its body: a report on a thousand nodes takes a tenth
 	unsentMost = 1 << 20         // answers that a peer has not taken
 	partWithin = 5 * time.Second // a request that has begun is whole within this
-	peersMost  = 30000
 )
 
 // server speaks HTTP/1.1 on gnet's event loops.
@@ -47,8 +45,9 @@
 	// main has each gateway's connection that counts as its link. One that polls may have more: they carry polls alone.
 	main    *xsync.Map[coordinator.Gateway, *peer]
 	ended   chan error
-	refused atomic.Int64 // since the core was told
-	toldAt  atomic.Int64 // when, nanoseconds
+	from    *xsync.Map[string, *atomic.Int64] // connections by address
+	refused atomic.Int64                      // since the core was told
+	toldAt  atomic.Int64                      // when, nanoseconds
 }
 
 // refuse counts an error that a peer was answered with, and tells the core once a second at most: one that sends garbage
@@ -70,13 +69,16 @@
 	gateway coordinator.Gateway // empty until it has named itself
 	partAt  time.Time           // when the request that is not whole yet began
 	waiting atomic.Bool         // a request is with the core, or a poll is held
+	from    *atomic.Int64       // connections of its address
 	polls   bool
-	link    coordinator.Conn // the gateway's main connection; its own if it is that
-	cancel  atomic.Pointer[func()]
+	// requests that came on it
+	requests int
+	link     coordinator.Conn // the gateway's main connection; its own if it is that
+	cancel   atomic.Pointer[func()]
 }
 
 func listen(d *Daemon, addr string) (*server, error) {
-	s := &server{d: d, booted: make(chan struct{}), peers: xsync.NewMap[coordinator.Conn, *peer](),
+	s := &server{d: d, booted: make(chan struct{}), peers: xsync.NewMap[coordinator.Conn, *peer](), from: xsync.NewMap[string, *atomic.Int64](),
 		main: xsync.NewMap[coordinator.Gateway, *peer](), ended: make(chan error, 1)}
 	go func() {
 		s.ended <- gnet.Run(s, "tcp://"+addr, gnet.WithMulticore(true), gnet.WithTicker(true), gnet.WithReuseAddr(true), gnet.WithReadBufferCap(64<<10),
@@ -112,10 +114,17 @@
 
 // OnOpen takes a connection in.
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if s.peers.Size() >= peersMost {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
 		return nil, gnet.Close
 	}
-	p := &peer{id: coordinator.Conn(s.next.Add(1)), out: c}
+	from, _ := s.from.LoadOrCompute(host, func() (*atomic.Int64, bool) { return &atomic.Int64{}, false })
+	if s.peers.Size() >= s.d.cfg.Limits.Connections || from.Load() >= int64(s.d.cfg.Limits.PerAddress) {
+		s.refuse(host, "as many connections stand as may")
+		return http1.Answer(http.StatusServiceUnavailable, "text/plain", []byte("as many connections stand as may\n"), true), gnet.Close
+	}
+	from.Add(1)
+	p := &peer{id: coordinator.Conn(s.next.Add(1)), out: c, from: from}
 	c.SetContext(p)
 	s.peers.Store(p.id, p)
 	return nil, gnet.None
@@ -128,6 +137,7 @@
 		return gnet.None
 	}
 	s.peers.Delete(p.id)
+	p.from.Add(-1)
 	if cancel := p.cancel.Load(); cancel != nil {
 		(*cancel)()
 	}
@@ -170,32 +180,24 @@
 		if p.partAt.IsZero() {
 			p.partAt = time.Now()
 		}
-		head := bytes.Index(buf, []byte("\r\n\r\n"))
-		if head < 0 {
-			if len(buf) > headMost {
-				return s.end(c, http.StatusRequestHeaderFieldsTooLarge, "the head is too large")
-			}
-			return s.patience(p)
-		}
-		req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(buf[:head+4])))
+		req, body, whole, err := http1.Take(buf, http1.Limits{Head: headMost, Body: bodyMost})
 		if err != nil {
-			return s.end(c, http.StatusBadRequest, "no HTTP/1.1 request: "+err.Error())
-		}
-		if len(req.TransferEncoding) > 0 || req.ContentLength < 0 {
-			return s.end(c, http.StatusLengthRequired, "a body needs its Content-Length")
-		}
-		if req.ContentLength > bodyMost {
-			return s.end(c, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body has %d bytes at most", bodyMost))
+			code, why := http.StatusBadRequest, err.Error()
+			if e, is := err.(*http1.Error); is {
+				code, why = e.Code, e.Why
+			}
+			return s.end(c, code, why)
 		}
-		whole := head + 4 + int(req.ContentLength)
-		if len(buf) < whole {
+		if whole == 0 {
 			return s.patience(p)
 		}
-		body := bytes.Clone(buf[head+4 : whole])
 		if _, err := c.Discard(whole); err != nil {
 			return gnet.Close
 		}
 		p.partAt = time.Time{}
+		if p.requests++; s.d.cfg.Limits.Requests > 0 && p.requests > s.d.cfg.Limits.Requests {
+			return s.end(c, http.StatusTooManyRequests, fmt.Sprintf("a connection has %d requests: open another", s.d.cfg.Limits.Requests))
+		}
 		s.serve(p, req, body)
 	}
 	if c.InboundBuffered() > headMost+bodyMost {
@@ -215,33 +217,14 @@
 // end answers with an error and closes: what follows on the connection can't be told apart.
 func (s *server) end(c gnet.Conn, code int, why string) gnet.Action {
 	s.refuse(c.RemoteAddr().String(), why)
-	_, _ = c.Write(response(code, "text/plain", []byte(why+"\n"), true))
+	_, _ = c.Write(http1.Answer(code, "text/plain", []byte(why+"\n"), true))
 	return gnet.Close
 }
 
-func response(code int, kind string, body []byte, last bool) []byte {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", code, http.StatusText(code))
-	if code != http.StatusNotModified {
-		fmt.Fprintf(&b, "Content-Type: %s\r\nContent-Length: %d\r\n", kind, len(body))
-	}
-	if code == http.StatusServiceUnavailable {
-		b.WriteString("Retry-After: 1\r\n")
-	}
-	if last {
-		b.WriteString("Connection: close\r\n")
-	}
-	b.WriteString("\r\n")
-	if code != http.StatusNotModified {
-		b.Write(body)
-	}
-	return b.Bytes()
-}
-
 // answer sends a response and lets the connection's next request be read.
 func (s *server) answer(p *peer, code int, kind string, body []byte) {
 	p.waiting.Store(false)
-	_ = p.out.AsyncWrite(response(code, kind, body, false), func(c gnet.Conn, err error) error {
+	_ = p.out.AsyncWrite(http1.Answer(code, kind, body, false), func(c gnet.Conn, err error) error {
 		if err == nil && c != nil && c.InboundBuffered() > 0 {
 			return c.Wake(nil)
 		}
