Polls of one gateway settle its link in one go; answers made on all cores, tables made once

Cause: two first polls of a gateway on two loops each took the other's link and one was closed (14 of 9,800 connections), a flag was read while it was written, and waking 4,900 gateways took 4.3 s, over the grace. Change: the link is settled atomically, held polls are answered outside the deciding loop, gateways of one table share its cluster within a step.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -46,6 +46,7 @@
 	levels    map[control.Table]map[control.ReqKind]control.Admit
 	withdrawn map[control.Backend]bool
 
+	made     map[madeKey]made // in this step
 	book     *tables.Book
 	later    []Output // of what was done between steps
 	lag      micros   // of confirmations, smoothed over eight
@@ -73,6 +74,7 @@
 	c.list.entries = map[control.Backend]control.Entry{}
 	c.list.firstSeen = map[control.Backend]micros{}
 	c.sums.reset()
+	c.made = map[madeKey]made{}
 	c.book = tables.NewBook(keepVersions, keepFor)
 	if set.Solver {
 		c.solving = newSolving(len(set.Up.Kinds))
@@ -88,10 +90,12 @@
 		c.began = c.now
 	}
 	c.outputs, c.orders, c.later = c.later, nil, nil
+	clear(c.made)
 	var events []control.Event
 	for _, in := range inputs {
 		events = append(events, c.input(in)...)
 	}
+	clear(c.made) // what came may have closed nodes
 	events = append(events, c.watchGateways()...)
 	for {
 		due := c.due()
@@ -248,11 +252,13 @@
 			c.book.Put(c.now, t, c.lines[t])
 		}
 	}
+	clear(c.made)
 	var events []control.Event
 	var solved map[control.Table]bool
 	if c.solving != nil && c.solving.due {
 		c.solving.due = false
 		solved = c.solve()
+		clear(c.made)
 	}
 	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
 		g := c.byProxy[proxy]
@@ -280,14 +286,14 @@
 	var s tables.Snapshot
 	for k, kind := range c.set.Up.Kinds {
 		table, k := g.binds[k], control.ReqKind(k)
-		weights, admit, acts := c.acting(table, int(k))
-		if !acts {
-			weights = c.lines[table]
+		key := madeKey{table, k, g.zone}
+		made, has := c.made[key]
+		if !has {
+			made = c.make(g, key, kind.Name)
+			c.made[key] = made
 		}
-		weights = c.inForce(g, table, int(k), weights)
-		s.Clusters = append(s.Clusters, tables.Build(kind.Name, weights, c.list.zone, func(b control.Backend) bool {
-			return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
-		}))
+		admit := made.admit
+		s.Clusters = append(s.Clusters, made.cluster)
 		r := tables.Route{Kind: kind.Name, Rate: tables.Unlimited, Share: 1, Timeout: kind.ClientTimeout}
 		for _, t := range []control.Table{control.AllTables, table} {
 			a, has := c.levels[t][k]
@@ -312,5 +318,29 @@
 	return s
 }
 
+// made is a table's cluster for a kind. Gateways of a zone on one table share it within a step: with thousands of them
+// most of a step went into making the same again.
+type made struct {
+	cluster tables.Cluster
+	admit   float64
+}
+
+type madeKey struct {
+	table control.Table
+	kind  control.ReqKind
+	zone  control.Zone
+}
+
+func (c *Core) make(g *gateway, key madeKey, name string) made {
+	weights, admit, acts := c.acting(key.table, int(key.kind))
+	if !acts {
+		weights = c.lines[key.table]
+	}
+	weights = c.inForce(g, key.table, int(key.kind), weights)
+	return made{tables.Build(name, weights, c.list.zone, func(b control.Backend) bool {
+		return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
+	}), admit}
+}
+
 // everything is a rate that no gateway comes near; the module says so to turn nothing away.
 const everything = 1e6
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -78,6 +78,7 @@
 		c.list.has = true
 		c.out(Save{control.List{Version: in.Version, How: control.ListSaved, Entries: c.present()}})
 	}
+	clear(c.made)
 	if c.relisted = c.relisted || changed; changed {
 		c.note(Debug, "list", "version %d: %d entries, %d ready", in.Version, len(entries), c.list.ready())
 	}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -71,6 +71,7 @@
 	waiting atomic.Bool         // a request is with the core, or a poll is held
 	from    *atomic.Int64       // connections of its address
 	polls   bool
+	joined  bool // the core has been told that it is its gateway's link
 	// requests that came on it
 	requests int
 	link     coordinator.Conn // the gateway's main connection; its own if it is that
@@ -141,13 +142,8 @@
 	if cancel := p.cancel.Load(); cancel != nil {
 		(*cancel)()
 	}
-	if p.gateway != "" && p.link == p.id {
-		s.main.Compute(p.gateway, func(m *peer, has bool) (*peer, xsync.ComputeOp) {
-			if has && m == p {
-				return nil, xsync.DeleteOp
-			}
-			return m, xsync.CancelOp
-		})
+	if p.joined {
+		s.forget(p.gateway, p)
 		s.d.offer(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
 	}
 	return gnet.None
@@ -328,21 +324,35 @@
 		fail(http.StatusNotImplemented, "polling is off: front.poll.enabled")
 		return
 	}
-	var inputs []coordinator.Input
-	link := p.link
-	if m, stands := s.main.Load(name); p.gateway == "" || p.link != p.id && (!stands || m.id != p.link) {
+	if p.gateway == "" {
+		p.polls = node.Polls
+	}
+	// Which connection is the gateway's link is settled in one go: two polls of one gateway may come at once, on two
+	// loops, and must not each take the other's place.
+	conflict := false
+	main, _ := s.main.Compute(name, func(m *peer, stands bool) (*peer, xsync.ComputeOp) {
 		switch {
-		case stands && m != p && m.polls != node.Polls:
-			fail(http.StatusConflict, fmt.Sprintf("%s has a link by the other front: one name, one gateway", name))
-			return
-		case stands && m != p && node.Polls:
-			link = m.id
-		default:
-			link = p.id
-			inputs = append(inputs, coordinator.Join{Gateway: name, Conn: p.id, Zone: control.Zone(node.Zone), Standing: node.Standing,
-				Weight: node.Weight})
+		case !stands || m == p:
+			return p, xsync.UpdateOp
+		case m.polls != p.polls:
+			conflict = true
+			return m, xsync.CancelOp
+		case m.polls:
+			return m, xsync.CancelOp
+		default: // a later link of a gateway that reads files
+			return p, xsync.UpdateOp
 		}
+	})
+	if conflict {
+		fail(http.StatusConflict, fmt.Sprintf("%s has a link by the other front: one name, one gateway", name))
+		return
+	}
+	var inputs []coordinator.Input
+	if main == p && !p.joined {
+		inputs = append(inputs, coordinator.Join{Gateway: name, Conn: p.id, Zone: control.Zone(node.Zone), Standing: node.Standing,
+			Weight: node.Weight})
 	}
+	link := main.id
 	switch in := in.(type) {
 	case *coordinator.Ack:
 		in.Conn = link
@@ -351,17 +361,27 @@
 		in.Conn = link
 		inputs = append(inputs, *in)
 	}
-	p.polls = node.Polls
-	if link == p.id {
-		s.main.Store(name, p)
-	}
 	if !s.d.offer(event{inputs: inputs, reply: done}) {
+		if main == p && !p.joined {
+			s.forget(name, p)
+		}
 		fail(http.StatusServiceUnavailable, "busy")
 		return
 	}
+	p.joined = p.joined || main == p
 	p.gateway, p.link = name, link
 }
 
+// forget takes a connection out of being its gateway's link, if it is that.
+func (s *server) forget(name coordinator.Gateway, p *peer) {
+	s.main.Compute(name, func(m *peer, has bool) (*peer, xsync.ComputeOp) {
+		if has && m == p {
+			return nil, xsync.DeleteOp
+		}
+		return m, xsync.CancelOp
+	})
+}
+
 // polls tells whether a gateway's link is one that polls.
 func (s *server) polls(g coordinator.Gateway) bool {
 	p, has := s.main.Load(g)
--- a/front/poll/hub.go
+++ b/front/poll/hub.go
@@ -128,7 +128,7 @@
 	}
 	h.mu.Unlock()
 	for _, w := range due {
-		h.answer(w.req)
+		go h.answer(w.req) // making and encoding answers is spread over all cores, not done by who decides
 	}
 }
 
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -47,13 +47,18 @@
 
 // Sort puts a cluster's lines into their one order: by zone, then by backend.
 func (c *Cluster) Sort() {
-	slices.SortFunc(c.Lines, func(a, b Line) int {
-		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Backend, b.Backend))
-	})
+	slices.SortFunc(c.Lines, order)
 }
 
 // Equal tells whether two clusters are the same to the letter; both are sorted.
-func (c Cluster) Equal(o Cluster) bool { return c.Kind == o.Kind && slices.Equal(c.Lines, o.Lines) }
+func (c Cluster) Equal(o Cluster) bool {
+	return c.Kind == o.Kind && (c.same(o) || slices.Equal(c.Lines, o.Lines))
+}
+
+// same tells whether two clusters share their lines: those of gateways on one table do.
+func (c Cluster) same(o Cluster) bool {
+	return len(c.Lines) == len(o.Lines) && (len(c.Lines) == 0 || &c.Lines[0] == &o.Lines[0])
+}
 
 // SameClusters tells whether two snapshots have the same clusters.
 func (s Snapshot) SameClusters(o Snapshot) bool {
@@ -78,24 +83,16 @@
 // Cost is how many lines differ between two snapshots: set anew, changed or gone, routes counted as a line each. It
 // is what a message that brings a gateway from the one to the other holds besides its head.
 func Cost(from, to Snapshot) (lines int) {
-	type at struct {
-		kind    string
-		backend control.Backend
-	}
-	held := map[at]Line{}
+	held := map[string]Cluster{}
 	for _, c := range from.Clusters {
-		for _, l := range c.Lines {
-			held[at{c.Kind, l.Backend}] = l
-		}
+		held[c.Kind] = c
 	}
 	for _, c := range to.Clusters {
-		for _, l := range c.Lines {
-			key := at{c.Kind, l.Backend}
-			if old, has := held[key]; !has || old != l {
-				lines++
-			}
-			delete(held, key)
-		}
+		lines += c.cost(held[c.Kind])
+		delete(held, c.Kind)
+	}
+	for _, c := range held {
+		lines += len(c.Lines)
 	}
 	routes := map[string]Route{}
 	for _, r := range from.Routes {
@@ -107,7 +104,35 @@
 		}
 		delete(routes, r.Kind)
 	}
-	return lines + len(held) + len(routes)
+	return lines + len(routes)
+}
+
+// cost counts the lines that differ from another cluster's; both are sorted.
+func (c Cluster) cost(o Cluster) (lines int) {
+	if c.same(o) {
+		return 0
+	}
+	i, j := 0, 0
+	for i < len(c.Lines) && j < len(o.Lines) {
+		switch order(c.Lines[i], o.Lines[j]) {
+		case -1:
+			i++
+		case 1:
+			j++
+		default:
+			if c.Lines[i] == o.Lines[j] {
+				lines--
+			}
+			i, j = i+1, j+1
+		}
+		lines++
+	}
+	return lines + len(c.Lines) - i + len(o.Lines) - j
+}
+
+// order is the one order of lines: by zone, then by backend.
+func order(a, b Line) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Backend, b.Backend))
 }
 
 // Build makes a cluster of a table's weights; what masked names is withheld. Backends that zone does not know are
