--- a/drill/run.go
+++ b/drill/run.go
@@ -16,6 +16,7 @@
 	"porthub/audit"
 	"porthub/client"
 	"porthub/daemon"
+	"porthub/front/poll"
 	"porthub/standin"
 	"porthub/tables"
 )
@@ -67,6 +68,7 @@
 	Messages int          `json:"messages"`
 	Files    int          `json:"files"`
 	Bytes    int64        `json:"bytes"`
+	Polls    poll.Stats   `json:"polls"`
 	Steps    daemon.Times `json:"step_us"`
 }
 
@@ -240,7 +242,7 @@
 	for _, g := range s.Gateways {
 		w.Messages += g.Published
 	}
-	w.Files, w.Bytes, w.Steps = s.Front.Files, s.Front.Bytes, s.Steps
+	w.Files, w.Bytes, w.Polls, w.Steps = s.Front.Files, s.Front.Bytes, s.Poll, s.Steps
 	return w
 }
 
