--- a/audit/audit.go
+++ b/audit/audit.go
@@ -80,7 +80,6 @@
 	lists   []listed
 	ups     []span // coordinator
 	orders  *hdrhistogram.Histogram
-	drains  *hdrhistogram.Histogram
 	partial int
 	reads   int
 }
@@ -112,9 +111,7 @@
 }
 
 type gatewayLog struct {
-	zone   string
 	joined []span
-	alive  []span
 	reads  []read
 	held   tables.Snapshot
 	acks   []ack
@@ -144,7 +141,7 @@
 // NewLog starts a log.
 func NewLog(limits Limits) *Log {
 	return &Log{limits: limits, effects: map[effectKey]int{}, nodes: map[string]*nodeLog{}, gws: map[string]*gatewayLog{},
-		orders: hdrhistogram.New(1, 60_000_000, 3), drains: hdrhistogram.New(1, 60_000_000, 3)}
+		orders: hdrhistogram.New(1, 60_000_000, 3)}
 }
 
 func (l *Log) node(name string) *nodeLog {
@@ -201,15 +198,6 @@
 	l.sent = append(l.sent, send{at, gw, node})
 }
 
-// Alive says that a gateway has started or died.
-func (l *Log) Alive(at time.Duration, gw, zone string, on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	g := l.gateway(gw)
-	g.zone = zone
-	g.alive = toggle(g.alive, at, on)
-}
-
 // Joined says that a gateway's link to the coordinator stands or broke.
 func (l *Log) Joined(at time.Duration, gw string, on bool) {
 	l.mu.Lock()
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -22,7 +22,6 @@
 	l.Coordinator(0, true)
 	l.Started(0, "n1", "a", 2, false)
 	l.Started(20*s, "n2", "a", 2, true)
-	l.Alive(0, "gw", "a", true)
 	l.Joined(s, "gw", true)
 	l.List(0, map[string]ListState{"n1": Ready}, map[string]time.Duration{"n1": -time.Hour}, map[string]string{"n1": "a"})
 	l.List(21*s, map[string]ListState{"n1": Ready, "n2": Ready}, map[string]time.Duration{"n1": -time.Hour, "n2": 20 * s}, nil)
@@ -152,7 +151,6 @@
 	h.Clusters[1] = held("n1", "n2").Clusters[1]
 	for i := range 2 { // the second is acknowledged at once
 		gw := fmt.Sprintf("gw%d", i)
-		l.Alive(0, gw, "a", true)
 		l.Joined(0, gw, true)
 		l.Held(25*s, 25*s, gw, "e.1", h)
 		l.Acked(25*s+s/2*time.Duration(2-i), gw, "e.1")
--- a/front/http1/http1.go
+++ b/front/http1/http1.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"strings"
 )
 
 // Limits bound one request, in bytes.
@@ -73,8 +72,3 @@
 	}
 	return b.Bytes()
 }
-
-// Last tells whether the peer wants the connection closed after the answer.
-func Last(req *http.Request) bool {
-	return req.Close || strings.EqualFold(req.Header.Get("Connection"), "close")
-}
--- a/solver/estimate.go
+++ b/solver/estimate.go
@@ -18,8 +18,6 @@
 
 type speed struct {
 	bins [4]bin // busy seconds, reqs done in them
-	did  float64
-	busy float64
 }
 
 const (
--- a/solver/keeper.go
+++ b/solver/keeper.go
@@ -11,12 +11,11 @@
 // departure begins when they clearly don't, ends when they have clearly kept them for a while, and moves a bounded
 // number of tables in one round.
 type Keeper struct {
-	acting  bool
-	over    int // rounds in a row that the limits were broken
-	fine    int // rounds in a row that they were kept
-	prices  map[string]float64
-	tables  map[Key]Table
-	pending int // tables that still differ
+	acting bool
+	over   int // rounds in a row that the limits were broken
+	fine   int // rounds in a row that they were kept
+	prices map[string]float64
+	tables map[Key]Table
 }
 
 // Key names one kind's table of a user.
@@ -195,7 +194,6 @@
 		k.tables[c.key] = c.to
 		moved++
 	}
-	k.pending = len(changes) - moved
 	return moved
 }
 
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -126,7 +126,6 @@
 	g.server = &http.Server{Handler: mux}
 	go func(s *http.Server) { _ = s.Serve(l) }(g.server)
 	now := g.world.Now()
-	g.world.Log.Alive(now, g.Name, g.Zone, true)
 	g.world.Log.Held(now, now, g.Name, "", g.held.Snapshot)
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
@@ -154,7 +153,6 @@
 	g.ended.Wait()
 	now := g.world.Now()
 	g.world.Log.Joined(now, g.Name, false)
-	g.world.Log.Alive(now, g.Name, g.Zone, false)
 }
 
 // Away takes the way to the coordinator from the gateway, or gives it back.
