Files go out unsynced unless asked: drains keep the grace on a very busy disk

Cause: on a disk that eight writers keep syncing, a sync that has begun holds its writer for seconds and can't be called off, so drains came at 127% and 87% of the grace; leaving the sync out once confirmations were late came too late.

Change: documents are moved into place without a sync; front.files.sync asks for it, and then it is left out while the disk is slow, as before.

--- a/config/config.go
+++ b/config/config.go
@@ -63,6 +63,7 @@
 type FilesFront struct {
 	Dir     string `json:"dir"`     // one folder a gateway below it
 	Writers int    `json:"writers"` // files written at once
+	Sync    bool   `json:"sync"`    // brought to the disk before they are moved into place, while the disk is quick
 }
 
 // Registry is where the node list comes from.
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -22,6 +22,7 @@
 	SilentAfter micros // without a word for so long a gateway counts as away
 	AllowEmpty  bool   // an empty list after one that was not is believed
 	Solver      bool   // tables that break limits give way to the solver's
+	Sync        bool   // documents are synced while the disk is quick enough for it
 }
 
 // Core is one coordinator's state. Its zero value does not work: use New.
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -422,9 +422,14 @@
 	}
 }
 
-// While confirmations are late, as on a disk that others keep busy, documents go out unsynced, and synced again after.
+// Documents go out unsynced. Where the settings ask for a sync it is left out while confirmations are late, as on a
+// disk that others keep busy, and comes back after.
 func TestSlowDisk(t *testing.T) {
 	h := newHost(t, nil)
+	if h.fleet(); h.held["g1"].Sync {
+		t.Error("synced, and nobody asked for it")
+	}
+	h = newHost(t, func(s *Settings) { s.Sync = true })
 	h.fleet()
 	if !h.held["g1"].Sync {
 		t.Error("calm, and not synced")
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -290,8 +290,9 @@
 	return events
 }
 
-// synced tells whether documents are brought to the disk before they are moved into place. A disk that others keep
-// busy takes a second for each: on such a machine drains came eleven seconds late. While confirmations take more than
+// synced tells whether documents are brought to the disk before they are moved into place: never, unless the settings
+// ask for it. A disk that others keep busy takes a second for each, and a sync that has begun can't be called off: on
+// such a machine drains came eleven seconds late. While confirmations take more than
 // a tenth of the grace, or half of the gateways wait for longer than that, documents are moved into place unsynced; once
 // they take less than a fortieth, synced again.
 func (c *Core) synced() bool {
@@ -303,6 +304,9 @@
 			}
 		}
 	}
+	if !c.set.Sync {
+		return false
+	}
 	late := c.lag > grace/10 || 2*waiting > joined
 	switch {
 	case !c.unsynced && late:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,7 +109,8 @@
 	}
 	now := d.clock.Now()
 	d.core = coordinator.New(coordinator.Settings{Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
-		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled})
+		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled,
+		Sync: o.Config.Front.Files.Sync})
 	front, err := files.Open(o.Config.Front.Files.Dir, o.Config.Front.Files.Writers, func(g coordinator.Gateway, err error) {
 		d.give(coordinator.Failed{Gateway: g, Why: err.Error()})
 	})
