Answers to polls are made and encoded once for all gateways that are told the same

Change: the hub keeps made answers by the clusters that they lead from and to, and each encoding of them; version and nonce are added for each gateway.

--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -24,7 +24,7 @@
 		asJSON, list bool
 		baselines    bool
 		noSolver     bool
-		held         int
+		held, nodes  int
 		keep         string
 	)
 	cmd := &cobra.Command{
@@ -55,7 +55,7 @@
 				if err != nil {
 					return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
 				}
-				m, err := drill.MeasurePolls([]string{exe}, held)
+				m, err := drill.MeasurePolls([]string{exe}, held, nodes)
 				if err != nil {
 					return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
 				}
@@ -111,6 +111,7 @@
 	cmd.Flags().BoolVar(&list, "list", false, "list scenarios and troubles")
 	cmd.Flags().BoolVar(&baselines, "baselines", true, "run the baselines beside it, same seed")
 	cmd.Flags().BoolVar(&noSolver, "no-solver", false, "let the module's tables pass as they are")
+	cmd.Flags().IntVar(&nodes, "nodes", 18, "calc nodes in the list that --held-polls drains one of")
 	cmd.Flags().IntVar(&held, "held-polls", 0, "measure instead: so many gateways with two held polls each are woken at once")
 	cmd.Flags().StringVar(&keep, "keep", "", "use this folder and leave files and logs there")
 	return cmd
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -392,29 +392,29 @@
 func (s *server) hold(p *peer, req *http.Request, r poll.Request) {
 	r.Hold = min(r.Hold, time.Duration(s.d.cfg.Front.Poll.Hold)*time.Microsecond)
 	binary := strings.HasPrefix(req.Header.Get("Content-Type"), "application/x-protobuf")
-	r.Answer = func(m proto.Message, err error) {
-		switch {
-		case errors.Is(err, poll.ErrBase):
+	kind := jsonType
+	if binary {
+		kind = "application/x-protobuf"
+	}
+	r.Answer = func(told *poll.Told, err error) {
+		if errors.Is(err, poll.ErrBase) {
 			s.answer(p, http.StatusConflict, textType, []byte(err.Error()+"\n"))
-		case err != nil:
-			s.answer(p, http.StatusInternalServerError, textType, []byte(err.Error()+"\n"))
-		case m == nil:
+			return
+		}
+		if told == nil && err == nil {
 			s.answer(p, http.StatusNotModified, "", nil)
-		case binary:
-			body, err := proto.Marshal(m)
-			if err != nil {
-				s.answer(p, http.StatusInternalServerError, textType, []byte(err.Error()+"\n"))
-				return
-			}
-			s.answer(p, http.StatusOK, "application/x-protobuf", body)
-		default:
-			body, err := xds.Encode(m)
-			if err != nil {
-				s.answer(p, http.StatusInternalServerError, textType, []byte(err.Error()+"\n"))
-				return
-			}
-			s.answer(p, http.StatusOK, jsonType, body)
+			return
+		}
+		var body []byte
+		if err == nil {
+			body, err = told.Body(binary)
+		}
+		if err != nil {
+			s.answer(p, http.StatusInternalServerError, textType, []byte(err.Error()+"\n"))
+			return
 		}
+		s.d.hub.Sent(len(body))
+		s.answer(p, http.StatusOK, kind, body)
 	}
 	cancel, ok := s.d.hub.Poll(r)
 	if !ok {
--- a/front/poll/hub.go
+++ b/front/poll/hub.go
@@ -8,10 +8,12 @@
 import (
 	"container/list"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
-	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"google.golang.org/protobuf/proto"
 
 	"porthub/coordinator"
@@ -24,6 +26,8 @@
 	keep int // earlier publications of a gateway that deltas may start from
 	most int // held polls
 
+	shared *lru.Cache[string, *shares]
+
 	mu       sync.Mutex
 	gateways map[coordinator.Gateway]*standing
 	held     int
@@ -74,7 +78,7 @@
 	Lines map[string]string
 	// Answer is called once, by any goroutine: nil when there is nothing new. ErrBase says that a delta can't be made:
 	// the publication that the nonce names is not known, or not any more, and no lines were stated.
-	Answer func(m proto.Message, err error)
+	Answer func(told *Told, err error)
 }
 
 // ErrBase is a delta asked for from what is not known here.
@@ -82,7 +86,11 @@
 
 // NewHub holds so many polls at most, and keeps so many earlier publications of each gateway for deltas.
 func NewHub(most, keep int) *Hub {
-	return &Hub{keep: keep, most: most, gateways: map[coordinator.Gateway]*standing{}}
+	shared, err := lru.New[string, *shares](sharesMost)
+	if err != nil {
+		panic(err) // only a size below 1 is an error
+	}
+	return &Hub{keep: keep, most: most, gateways: map[coordinator.Gateway]*standing{}, shared: shared}
 }
 
 // Stats returns the counts.
@@ -196,44 +204,55 @@
 	}, true
 }
 
+// Told is what answers a poll: shared between the gateways that are told the same.
+type Told struct {
+	Version, Nonce string
+	*xds.Shared
+}
+
+// Message is the answer whole.
+func (t *Told) Message() proto.Message { return t.Shared.Message(t.Version, t.Nonce) }
+
+// Body is the answer as it is sent.
+func (t *Told) Body(binary bool) ([]byte, error) {
+	if binary {
+		return t.EncodeBinary(t.Version, t.Nonce)
+	}
+	return t.Encode(t.Version, t.Nonce)
+}
+
 // answer tells a poll what is in force.
 func (h *Hub) answer(r Request) {
 	h.mu.Lock()
 	g := h.gateway(r.Gateway)
-	p, version := g.last, g.version[r.Doc]
+	told := &Told{Version: g.version[r.Doc], Nonce: g.last.Nonce}
+	to := g.last.Snapshot
 	var base *tables.Snapshot
 	if e, has := g.byNonce[r.Nonce]; has && r.Nonce != "" {
 		s := e.Value.(past).snapshot
 		base = &s
 	}
 	h.mu.Unlock()
-	var m proto.Message
 	var err error
 	lines := 0
 	switch {
+	case r.Delta && base == nil && r.Nonce != "" && r.Lines == nil:
+		r.Answer(nil, ErrBase)
+		return
+	case r.Delta && base != nil:
+		told.Shared, err = h.same(base.Clusters, to.Clusters, func() (*xds.Shared, error) { return xds.ShareDelta(xds.LineVersions(*base), to) })
+		lines = linesOf(told, err)
 	case r.Delta:
-		var d *discoveryv3.DeltaDiscoveryResponse
-		switch {
-		case base == nil && r.Nonce != "" && r.Lines == nil:
-			r.Answer(nil, ErrBase)
-			return
-		case base != nil:
-			d, err = xds.Delta(version, p.Nonce, xds.LineVersions(*base), p.Snapshot)
-		default:
-			d, err = xds.Delta(version, p.Nonce, r.Lines, p.Snapshot)
-		}
-		if err == nil {
-			lines = len(d.Resources) + len(d.RemovedResources)
-		}
-		m = d
+		told.Shared, err = xds.ShareDelta(r.Lines, to)
+		lines = linesOf(told, err)
 	case r.Doc == coordinator.Endpoints:
-		m, err = xds.Endpoints(version, p.Nonce, p.Snapshot.Clusters)
-		for _, c := range p.Snapshot.Clusters {
+		told.Shared, err = h.same(nil, to.Clusters, func() (*xds.Shared, error) { return xds.ShareEndpoints(to.Clusters) })
+		for _, c := range to.Clusters {
 			lines += len(c.Lines)
 		}
 	default:
-		m, err = xds.RouteDocument(version, p.Nonce, p.Snapshot.Routes)
-		lines = len(p.Snapshot.Routes)
+		told.Shared, err = xds.ShareRoutes(to.Routes)
+		lines = len(to.Routes)
 	}
 	if err != nil {
 		r.Answer(nil, err)
@@ -245,7 +264,50 @@
 	} else {
 		h.stats.Whole++
 	}
-	h.stats.Bytes += int64(proto.Size(m))
 	h.mu.Unlock()
-	r.Answer(m, nil)
+	r.Answer(told, nil)
+}
+
+func linesOf(t *Told, err error) int {
+	if err != nil {
+		return 0
+	}
+	return t.Lines()
+}
+
+// Sent counts the bytes of an answer.
+func (h *Hub) Sent(bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stats.Bytes += int64(bytes)
+}
+
+// shares is one made answer, and the clusters that it was made from: while it is kept, so are they, and no others can
+// stand where they stand.
+type shares struct {
+	from, to []tables.Cluster
+	once     sync.Once
+	shared   *xds.Shared
+	err      error
+}
+
+// sharesMost bounds how many are kept: a fleet's groups, each by a few earlier states.
+const sharesMost = 512
+
+// same makes an answer once for all gateways that go from the same clusters to the same. The core hands gateways of one
+// zone on one table the very same lines, so being the same is being in the same place.
+func (h *Hub) same(from, to []tables.Cluster, make func() (*xds.Shared, error)) (*xds.Shared, error) {
+	var key strings.Builder
+	for _, clusters := range [][]tables.Cluster{from, to} {
+		for _, c := range clusters {
+			fmt.Fprintf(&key, "%p %d %s ", c.Lines, len(c.Lines), c.Kind)
+		}
+		key.WriteByte('>')
+	}
+	s := &shares{from: from, to: to}
+	if held, found, _ := h.shared.PeekOrAdd(key.String(), s); found {
+		s = held
+	}
+	s.once.Do(func() { s.shared, s.err = make() })
+	return s.shared, s.err
 }
--- a/xds/xds_test.go
+++ b/xds/xds_test.go
@@ -111,3 +111,42 @@
 		}
 	}
 }
+
+// A shared response reads as the one made for a gateway alone, in both encodings, whole and by deltas.
+func TestShared(t *testing.T) {
+	from := tables.Snapshot{Clusters: []tables.Cluster{{Kind: "view", Lines: []tables.Line{{Backend: "127.0.0.1:1", Zone: "a", Weight: 1}}}}}
+	to := tables.Snapshot{Clusters: []tables.Cluster{{Kind: "view", Lines: []tables.Line{{Backend: "127.0.0.1:2", Zone: "a", Weight: 0.5}}}}}
+	whole, err := ShareEndpoints(to.Clusters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta, err := ShareDelta(LineVersions(from), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nothing, err := ShareDelta(LineVersions(to), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]*Shared{"whole": whole, "delta": delta, "nothing": nothing} {
+		for _, v := range []string{"e.1", `quoted "and\ worse`} {
+			want := s.Message(v, v+"n")
+			text, err := s.Encode(v, v+"n")
+			got := proto.Clone(want)
+			proto.Reset(got)
+			if err == nil {
+				err = Decode(text, got)
+			}
+			if err != nil || !proto.Equal(got, want) {
+				t.Errorf("%s %s as JSON: %v, %v", name, v, got, err)
+			}
+			body, err := s.EncodeBinary(v, v+"n")
+			if err == nil {
+				err = proto.Unmarshal(body, got)
+			}
+			if err != nil || !proto.Equal(got, want) {
+				t.Errorf("%s %s binary: %v, %v", name, v, got, err)
+			}
+		}
+	}
+}
