A pure ledger decides what a gateway may be sent; urgent changes have messages left

Need: what a gateway is believed to hold, and what goes now or merged with the next, was spread over the coordinator; a burst of routine changes could use up a span's messages and keep a drain waiting.

Change: tables.Ledger, one a gateway, pure: confirmed, on its way, void; budget with a fifth for urgent changes and a pace for routine ones. Its model test found a lost mark: a change that waited and was taken back overwrote a newer mark; fixed.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -126,8 +126,8 @@
 		if g.linked && g.checkAt > 0 {
 			next = min(next, g.checkAt)
 		}
-		if g.joined && g.late {
-			next = min(next, g.lateAt)
+		if at, later := g.ledger.DueAt(); g.joined && later {
+			next = min(next, at)
 		}
 	}
 	for _, t := range c.timers {
@@ -273,7 +273,7 @@
 		}
 		reached = reached || g.owed && c.mayPublish(g) || c.checkDue(g)
 		// One that is put out for not acknowledging may well read: drains still go to it.
-		if (g.joined || g.linked && c.checkDue(g)) && g.bound() && (reached || g.stale) {
+		if (g.joined || g.linked && c.checkDue(g)) && g.bound() && (reached || g.ledger.Voided()) {
 			events = append(events, c.publish(g, mark)...)
 		}
 	}
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -190,7 +190,7 @@
 	h := newHost(t, nil)
 	h.fleet()
 	h.mute["g2"] = true
-	h.core.gateways["g2"].stale = true
+	h.core.gateways["g2"].ledger.Void()
 	h.list(entries("a", "a1:1", "a2:1")...)
 	h.pass(5*second, "g1", "g2")
 	if g := h.core.gateways["g2"]; g.joined || !g.linked || h.notes["no_acknowledgement"] != 1 {
@@ -223,25 +223,25 @@
 	h.mute["g1"] = true
 	h.list(entries("a", "a1:1")...)
 	g := h.core.gateways["g1"]
-	waiting := len(g.waiting)
+	waiting := len(g.ledger.Waiting())
 	if waiting == 0 {
 		t.Fatal("nothing is on its way")
 	}
-	m := g.waiting[0]
+	m := g.ledger.Waiting()[0]
 	for name, ack := range map[string]Ack{
 		"never sent":         {Version: "e.999", Nonce: "e.999"},
 		"another start's":    {Version: "x.1", Nonce: "x.1"},
 		"an earlier one":     {Version: "e.1", Nonce: "e.1"},
-		"on another link":    {Version: m.version, Nonce: m.nonce, Conn: 99},
-		"no such document":   {Version: m.version, Nonce: m.nonce, Doc: 7},
+		"on another link":    {Version: m.Version, Nonce: m.Version, Conn: 99},
+		"no such document":   {Version: m.Version, Nonce: m.Version, Doc: 7},
 		"refusal of nothing": {Version: "e.1", Nonce: "e.1", Error: "no"},
 	} {
 		ack.Gateway = "g1"
 		if ack.Conn == 0 {
 			ack.Conn = h.conns["g1"]
 		}
-		if h.tell(ack); len(g.waiting) != waiting {
-			t.Errorf("%s: %d on their way, %d before", name, len(g.waiting), waiting)
+		if h.tell(ack); len(g.ledger.Waiting()) != waiting {
+			t.Errorf("%s: %d on their way, %d before", name, len(g.ledger.Waiting()), waiting)
 		}
 	}
 	if h.notes["unknown_version"] == 0 {
@@ -249,14 +249,14 @@
 	}
 	// A refusal is answered by the whole, once, after a while.
 	before := h.sent["g1"]
-	h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: "e.1", Nonce: m.nonce, Error: "unexpected end"})
+	h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: "e.1", Nonce: m.Version, Error: "unexpected end"})
 	if h.sent["g1"] != before {
 		t.Error("sent again at once")
 	}
 	h.mute["g1"] = false
 	h.pass(3*second, "g1", "g2")
-	if h.sent["g1"] == before || len(g.waiting) != 0 || h.notes["refused"] != 1 {
-		t.Errorf("sent %d times, %d on their way, %v", h.sent["g1"]-before, len(g.waiting), h.notes)
+	if h.sent["g1"] == before || len(g.ledger.Waiting()) != 0 || h.notes["refused"] != 1 {
+		t.Errorf("sent %d times, %d on their way, %v", h.sent["g1"]-before, len(g.ledger.Waiting()), h.notes)
 	}
 }
 
@@ -534,10 +534,10 @@
 	h.fleet()
 	g := h.core.gateways["g1"]
 	say := func(sum uint64) {
-		h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: g.confirmed[Endpoints].version, Checksum: sum})
+		h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: g.ledger.Confirmed(int(Endpoints)).Version, Checksum: sum})
 	}
 	before := h.sent["g1"]
-	if say(tables.Checksum(h.held["g1"].Snapshot)); g.retryAt != 0 {
+	if say(tables.Checksum(h.held["g1"].Snapshot)); h.notes["wrong_checksum"] != 0 {
 		t.Error("the right checksum voids belief")
 	}
 	say(12345)
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 
@@ -19,29 +18,16 @@
 	joined bool // the module counts it as joined
 	binds  []control.Table
 
-	seq       uint64 // of its last report
-	heardAt   micros // last word of any kind
-	joinedAt  micros
-	confirmed [docs]message // last acknowledged
-	waiting   []message     // published and not acknowledged, the oldest first
-	sent      tables.Snapshot
-	published int  // messages, in this process
-	stale     bool // must be published whole even if nothing changed
-	retryAt   micros
-	retries   int
-	wrong     int // checksums in a row that were not what it should hold
+	seq      uint64 // of its last report
+	heardAt  micros // last word of any kind
+	joinedAt micros
+	ledger   *tables.Ledger // what it holds, and what it may be sent
 
 	usage []float64       // by kind: reqs a second that came to it, half way to the new value with each report
 	caps  map[int]float64 // by kind: rates that the solver's admission came to
-	times []micros        // of messages, for the limit on them
 	owed  bool            // something has changed that has not gone out
-	// checkAt is when what it holds is held against the list, 0: nothing has changed there. owedMark is the mark of what
-	// had to wait for the limit on messages; -1: none.
-	checkAt  micros
-	owedMark control.Mark
-
-	late   bool // it has to wait for the limit on messages, until lateAt
-	lateAt micros
+	// checkAt is when what it holds is held against the list, 0: nothing has changed there.
+	checkAt micros
 
 	expelled int    // times it was put out for not acknowledging
 	letInAt  micros // not joined again before
@@ -49,26 +35,6 @@
 	weight   float64
 }
 
-// message is one publication on its way.
-type message struct {
-	version string
-	nonce   string
-	changed [docs]bool
-	acked   [docs]bool
-	mark    control.Mark // -1: none
-	at      micros
-	lines   int
-}
-
-func (m message) done() bool {
-	for d := range docs {
-		if m.changed[d] && !m.acked[d] {
-			return false
-		}
-	}
-	return true
-}
-
 const unbound control.Table = -1
 
 func (g *gateway) bound() bool { return len(g.binds) > 0 && !slices.Contains(g.binds, unbound) }
@@ -84,7 +50,7 @@
 			c.out(Drop{in.Conn, "too many gateways"})
 			return nil
 		}
-		g = &gateway{name: in.Gateway, proxy: control.Proxy(len(c.gateways)), owedMark: -1}
+		g = &gateway{name: in.Gateway, proxy: control.Proxy(len(c.gateways)), ledger: tables.NewLedger(c.set.Epoch, c.budget())}
 		c.gateways[in.Gateway], c.byProxy[g.proxy] = g, g
 	}
 	if !slices.Contains(c.set.Up.Zones, in.Zone) {
@@ -101,12 +67,17 @@
 	g.seq = 0
 	if events = append(events, c.letIn(g)...); !g.joined && g.bound() {
 		// It has to wait for being let in, and what has drained while it was away still stands in its files.
-		g.stale = true
-		events = append(events, c.publish(g, -1)...)
+		g.ledger.Void()
+		events = append(events, c.publish(g, tables.NoMark)...)
 	}
 	return events
 }
 
+// budget is what the rules allow of messages to one gateway; a file is written a little later than it was published.
+func (c *Core) budget() tables.Budget {
+	return tables.Budget{Most: c.set.Up.Rules.MessageCap, Span: c.set.Up.Rules.MessageSpan + spanSlack}
+}
+
 // mostGateways bounds what names alone can cost.
 const mostGateways = 60000
 
@@ -117,15 +88,16 @@
 	}
 	g.joined, g.joinedAt = true, c.now
 	g.binds = slices.Repeat([]control.Table{unbound}, len(c.set.Up.Kinds))
-	g.waiting, g.sent, g.stale, g.retries, g.retryAt = nil, tables.Snapshot{}, true, 0, 0
-	g.late, g.owedMark, g.checkAt = false, -1, 0
+	g.ledger.Join()
+	g.checkAt = 0
 	return []control.Event{control.Joined{Proxy: g.proxy, Zone: g.zone, Fresh: g.fresh, Weight: g.weight}}
 }
 
 // part ends a gateway's connection as far as the module goes; it keeps its files and goes on by them.
 func (c *Core) part(g *gateway) []control.Event {
 	was := g.joined
-	g.linked, g.joined, g.waiting = false, false, nil
+	g.linked, g.joined = false, false
+	g.ledger.Part()
 	if was {
 		return []control.Event{control.Left{Proxy: g.proxy}}
 	}
@@ -157,29 +129,28 @@
 	var events []control.Event
 	for p := range control.Proxy(len(c.gateways)) {
 		g := c.byProxy[p]
+		waiting := g.ledger.Waiting()
+		laterAt, later := g.ledger.DueAt()
 		switch {
 		case !g.linked:
 		case c.now-g.heardAt > c.set.SilentAfter:
 			c.complain("silent", g.name, "no word for %.1f s: it counts as away", float64(c.now-g.heardAt)/float64(second))
 			c.out(Drop{g.conn, "silent"})
 			events = append(events, c.part(g)...)
-		case g.joined && len(g.waiting) > 0 && c.now-g.waiting[0].at > c.ackWithin():
+		case g.joined && len(waiting) > 0 && c.now-waiting[0].At > c.ackWithin():
 			g.expelled++
 			g.letInAt = c.now + min(second<<min(g.expelled, 6), 60*second)
 			c.complain("no_acknowledgement", g.name, "version %s not acknowledged for %.1f s: it counts as away for %.0f s",
-				g.waiting[0].version, float64(c.now-g.waiting[0].at)/float64(second), float64(g.letInAt-c.now)/float64(second))
+				waiting[0].Version, float64(c.now-waiting[0].At)/float64(second), float64(g.letInAt-c.now)/float64(second))
 			was := g.linked
 			events = append(events, c.part(g)...)
 			g.linked = was
 		case !g.joined:
 			if events = append(events, c.letIn(g)...); !g.joined && g.bound() && c.checkDue(g) {
-				events = append(events, c.publish(g, -1)...)
+				events = append(events, c.publish(g, tables.NoMark)...)
 			}
-		case g.retryAt > 0 && c.now >= g.retryAt && g.bound():
-			g.retryAt, g.stale = 0, true
-			events = append(events, c.publish(g, -1)...)
-		case g.bound() && (c.checkDue(g) || g.late && c.now >= g.lateAt):
-			events = append(events, c.publish(g, -1)...)
+		case g.bound() && (g.ledger.Retry(c.now) || c.checkDue(g) || later && c.now >= laterAt):
+			events = append(events, c.publish(g, tables.NoMark)...)
 		}
 	}
 	return events
@@ -193,58 +164,27 @@
 // itself; what it has not reached by then, an old table or a gateway that is put out, is masked here.
 func (c *Core) checkDue(g *gateway) bool { return g.checkAt > 0 && c.now >= g.checkAt }
 
-// full tells whether a gateway has had as many messages as it may, and when it may have the next.
-func (c *Core) full(g *gateway) (bool, micros) {
-	r := c.set.Up.Rules
-	g.times = slices.DeleteFunc(g.times, func(at micros) bool { return c.now-at > r.MessageSpan+spanSlack })
-	if r.MessageCap == 0 || len(g.times) < r.MessageCap {
-		return false, 0
-	}
-	return true, g.times[0] + r.MessageSpan + spanSlack + 1
-}
-
 // spanSlack is left at the end of the messages' span: a file is written a little later than it was published.
 const spanSlack = second / 2
 
-// publish brings a gateway to what it should hold. What is the same as what was sent last costs no message: its mark
-// goes with the last message on its way, or is done at once.
+// publish brings a gateway to what it should hold, as its ledger says.
 func (c *Core) publish(g *gateway, mark control.Mark) []control.Event {
 	s := c.snapshot(g)
-	m := message{mark: mark, at: c.now, lines: tables.Cost(g.sent, s)}
-	m.changed = [docs]bool{g.stale || !s.SameClusters(g.sent), g.stale || !s.SameRoutes(g.sent)}
 	g.checkAt = 0
-	if m.changed == ([docs]bool{}) {
-		if g.owed, g.late = false, false; mark < 0 {
-			mark, g.owedMark = g.owedMark, -1
-		}
-		if mark < 0 {
-			return nil
-		}
-		if n := len(g.waiting); n > 0 {
-			g.waiting[n-1].mark = mark
-			return nil
-		}
-		return []control.Event{control.Applied{Proxy: g.proxy, Mark: mark}}
-	}
-	if full, next := c.full(g); full {
-		// The limit on messages: what it is to hold goes out whole with the next one that may. The mark goes with it, so
-		// the module takes this one to be on its way.
-		if g.late, g.lateAt = true, next; mark >= 0 {
-			g.owedMark = mark
-		}
-		return nil
+	verdict, m := g.ledger.Offer(c.now, s, mark, func() bool {
+		return tables.Closes(g.ledger.Sent(), s, func(b control.Backend) bool {
+			return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
+		})
+	})
+	if verdict != tables.Later {
+		g.owed = false
 	}
-	if g.late = false; mark < 0 {
-		m.mark = g.owedMark
+	switch verdict {
+	case tables.Applied:
+		return []control.Event{control.Applied{Proxy: g.proxy, Mark: m.Mark}}
+	case tables.Send:
+		c.out(Publish{Gateway: g.name, Version: m.Version, Nonce: m.Version, Snapshot: s, Changed: m.Changed, Sync: c.synced()})
 	}
-	g.owedMark = -1
-	g.published++
-	g.times, g.owed = append(g.times, c.now), false
-	m.nonce = fmt.Sprintf("%s.%d", c.set.Epoch, g.published)
-	m.version = m.nonce
-	g.sent, g.stale = s, false
-	g.waiting = append(g.waiting, m)
-	c.out(Publish{Gateway: g.name, Version: m.version, Nonce: m.nonce, Snapshot: s, Changed: m.changed, Sync: c.synced()})
 	return nil
 }
 
@@ -259,32 +199,21 @@
 	if in.Error != "" {
 		return c.refused(g, in)
 	}
-	at := slices.IndexFunc(g.waiting, func(m message) bool { return m.version == in.Version })
-	if at < 0 {
-		if in.Version == g.confirmed[in.Doc].version {
-			c.checked(g, in.Checksum)
-		}
-		if in.Version != "" && g.confirmed[in.Doc].version != in.Version && strings.HasPrefix(in.Version, c.set.Epoch+".") {
-			c.complain("unknown_version", g.name, "acknowledged %s %s, which is not on its way to it", in.Doc, in.Version)
-		}
-		return nil
+	done, known := g.ledger.Ack(c.now, int(in.Doc), in.Version)
+	if !known && strings.HasPrefix(in.Version, c.set.Epoch+".") {
+		c.complain("unknown_version", g.name, "acknowledged %s %s, which is not on its way to it", in.Doc, in.Version)
 	}
-	// A file that was replaced before it was read is held in its later form: earlier ones count as read.
-	for i := range g.waiting[:at+1] {
-		g.waiting[i].acked[in.Doc] = true
-	}
-	g.confirmed[in.Doc] = g.waiting[at]
-	g.confirmed[in.Doc].at = c.now
 	var events []control.Event
-	for len(g.waiting) > 0 && g.waiting[0].done() {
-		m := g.waiting[0]
-		g.waiting, g.retries, g.expelled = g.waiting[1:], 0, 0
-		if len(g.waiting) == 0 {
-			defer c.checked(g, in.Checksum)
+	for _, m := range done {
+		g.expelled = 0
+		c.lag += (c.now - m.At - c.lag) / 8
+		if m.Mark >= 0 {
+			events = append(events, control.Applied{Proxy: g.proxy, Mark: m.Mark, Took: c.now - m.At})
 		}
-		c.lag += (c.now - m.at - c.lag) / 8
-		if m.mark >= 0 {
-			events = append(events, control.Applied{Proxy: g.proxy, Mark: m.mark, Took: c.now - m.at})
+	}
+	if known && g.joined {
+		if want, right := g.ledger.Check(c.now, in.Checksum); !right {
+			c.complain("wrong_checksum", g.name, "it holds %x, not %x: the whole is sent again", in.Checksum, want)
 		}
 	}
 	return events
@@ -299,7 +228,7 @@
 	grace, waiting, joined := c.set.Up.Rules.DrainGrace, 0, 0
 	for _, g := range c.gateways {
 		if g.joined {
-			if joined++; len(g.waiting) > 0 && c.now-g.waiting[0].at > grace/10 {
+			if joined++; len(g.ledger.Waiting()) > 0 && c.now-g.ledger.Waiting()[0].At > grace/10 {
 				waiting++
 			}
 		}
@@ -319,15 +248,10 @@
 	return !c.unsynced
 }
 
-// refused notes a refusal and sends the whole again, later each time: the gateway may have read it at a bad moment,
-// and what it holds meanwhile is its last good one.
+// refused notes a refusal; the ledger has the whole sent again.
 func (c *Core) refused(g *gateway, in Ack) []control.Event {
-	if !slices.ContainsFunc(g.waiting, func(m message) bool { return m.nonce == in.Nonce }) {
-		return nil
+	if again, known := g.ledger.Refuse(c.now, in.Nonce); known {
+		c.complain("refused", g.name, "%s %s: %.200s: sent again in %.0f s", in.Doc, in.Nonce, in.Error, float64(again)/float64(second))
 	}
-	g.retries++
-	wait := min(2*second<<min(g.retries-1, 4), 30*second)
-	g.retryAt = c.now + wait
-	c.complain("refused", g.name, "%s %s: %.200s: sent again in %.0f s", in.Doc, in.Nonce, in.Error, float64(wait)/float64(second))
 	return nil
 }
--- a/coordinator/solving.go
+++ b/coordinator/solving.go
@@ -219,8 +219,8 @@
 		return 0
 	}
 	u := g.usage[kind]
-	if kind < len(g.sent.Routes) {
-		r := g.sent.Routes[kind]
+	if kind < len(g.ledger.Sent().Routes) {
+		r := g.ledger.Sent().Routes[kind]
 		if u *= r.Share; r.Rate >= 0 {
 			u = min(u, r.Rate)
 		}
@@ -272,16 +272,13 @@
 // and a quarter of the queue are left to the module, which counts on them.
 func (c *Core) mayPublish(g *gateway) bool {
 	r := c.set.Up.Rules
-	if full, _ := c.full(g); full {
-		return false
-	}
-	if r.MessageCap > 0 && len(g.times) >= r.MessageCap/2 {
+	if r.MessageCap > 0 && g.ledger.Used(c.now) >= r.MessageCap/2 {
 		return false
 	}
 	lines := 0.0
 	for _, other := range c.gateways {
-		for _, m := range other.waiting {
-			lines += float64(m.lines) + c.set.Up.Channel.Envelope
+		for _, m := range other.ledger.Waiting() {
+			lines += float64(m.Lines) + c.set.Up.Channel.Envelope
 		}
 	}
 	return lines < r.QueueCap/4
--- a/coordinator/status.go
+++ b/coordinator/status.go
@@ -42,19 +42,19 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.gateways)) {
 		g := c.gateways[name]
-		one := GatewayStatus{Gateway: name, Zone: g.zone, Joined: g.joined, Since: g.heardAt, Waiting: len(g.waiting),
-			Published: g.published, Tables: slices.Clone(g.binds), Snapshot: g.sent}
+		one := GatewayStatus{Gateway: name, Zone: g.zone, Joined: g.joined, Since: g.heardAt, Waiting: len(g.ledger.Waiting()),
+			Published: g.ledger.Count(), Tables: slices.Clone(g.binds), Snapshot: g.ledger.Sent()}
 		if g.joined {
 			one.Since = g.joinedAt
 		}
 		for d := range docs {
-			one.Confirmed[d], one.At[d] = g.confirmed[d].version, int64(g.confirmed[d].at)
+			one.Confirmed[d], one.At[d] = g.ledger.Confirmed(int(d)).Version, int64(g.ledger.Confirmed(int(d)).At)
 		}
-		for i, m := range g.waiting {
-			if one.Lines += m.lines; i == 0 {
-				one.Oldest = c.now - m.at
+		for i, m := range g.ledger.Waiting() {
+			if one.Lines += m.Lines; i == 0 {
+				one.Oldest = c.now - m.At
 			}
-			one.Version = m.version
+			one.Version = m.Version
 		}
 		if one.Version == "" {
 			one.Version = one.Confirmed[Endpoints]
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -70,20 +70,5 @@
 	return held
 }
 
-// checked holds what a gateway says it has against what it should have, once nothing is on its way. Where they differ
-// belief is void: the whole is sent, later each time.
-func (c *Core) checked(g *gateway, sum uint64) {
-	if sum == 0 || len(g.waiting) > 0 || !g.joined || g.retryAt > 0 || len(g.sent.Clusters) == 0 {
-		return
-	}
-	if want := tables.Checksum(g.sent); sum == want {
-		g.wrong = 0
-	} else {
-		g.wrong++
-		g.retryAt = c.now + min(second<<min(g.wrong, 5), 30*second)
-		c.complain("wrong_checksum", g.name, "it holds %x, not %x: the whole is sent again", sum, want)
-	}
-}
-
 // Book is the versions and pins of all tables; it must not be changed.
 func (c *Core) Book() *tables.Book { return c.book }
--- /dev/null
+++ b/tables/ledger_test.go
@@ -0,0 +1,220 @@
+package tables
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"porthub/control"
+)
+
+func held(weights ...float64) Snapshot {
+	c := Cluster{Kind: "view"}
+	for i, w := range weights {
+		if w != 0 {
+			c.Lines = append(c.Lines, Line{Backend: control.Backend(rune('a' + i)), Zone: "z", Weight: max(w, -w), Withheld: w < 0})
+		}
+	}
+	return Snapshot{Clusters: []Cluster{c}, Routes: []Route{{Kind: "view", Rate: Unlimited, Share: 1}}}
+}
+
+func no() bool  { return false }
+func yes() bool { return true }
+
+// Routine changes as fast as they come must leave room for a drain, and the last of them goes out when it may, with the
+// mark that waits for it.
+func TestDrainAfterABurst(t *testing.T) {
+	l := NewLedger("e", Budget{Most: 20, Span: 10 * second})
+	l.Join()
+	now, sent, offered := second, 0, 1.0
+	for ; now < 6*second; now += second / 20 {
+		if v, _ := l.Offer(now, held(offered, 1), control.Mark(int(offered)), no); v == Send {
+			sent++
+		}
+		offered++
+	}
+	if sent != 16 {
+		t.Errorf("%d routine messages in five seconds, want 16", sent)
+	}
+	if v, m := l.Offer(now, held(-offered, 1), NoMark, yes); v != Send || m.Mark != control.Mark(int(offered-1)) {
+		t.Errorf("a drain: %v, %+v", v, m)
+	}
+	for i := range 6 {
+		v, _ := l.Offer(now, held(-offered, float64(2+i)), NoMark, yes)
+		if want := i < 3; (v == Send) != want {
+			t.Errorf("urgent one %d after it: %v", i+1, v)
+		}
+	}
+	at, later := l.DueAt()
+	if !later || at <= now {
+		t.Fatalf("what had to wait is due at %d, %t", at, later)
+	}
+	if v, _ := l.Offer(at, held(-offered, 7), NoMark, yes); v != Send {
+		t.Errorf("and does not go then: %v", v)
+	}
+}
+
+// However states are offered, lost, confirmed and refused, no span has more messages than it may, no mark is lost, and an
+// urgent change waits only if the span is used up by urgent ones.
+func TestLedgerAlways(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most, span = 10, 10 * second
+		l := NewLedger("e", Budget{Most: most, Span: span})
+		l.Join()
+		now := second
+		var times, urgents []control.Micros
+		asked, told := NoMark, NoMark
+		within := func(at []control.Micros) (n int) {
+			for _, x := range at {
+				if now-x <= span {
+					n++
+				}
+			}
+			return n
+		}
+		note := func(v Verdict, m Message, urgent bool) {
+			switch v {
+			case Applied:
+				told = max(told, m.Mark)
+			case Send:
+				times = append(times, now)
+				if urgent {
+					urgents = append(urgents, now)
+				}
+			case Later:
+				if urgent && within(urgents) < most/5 {
+					t.Fatalf("an urgent change waits after %d urgent ones, %d in all", within(urgents), within(times))
+				}
+			}
+			if n := within(times); n > most {
+				t.Fatalf("%d messages in a span", n)
+			}
+		}
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += control.Micros(rapid.Int64Range(0, int64(second)).Draw(t, "gap"))
+			urgent := rapid.IntRange(0, 9).Draw(t, "urgent") == 0
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				asked = control.Mark(i)
+				v, m := l.Offer(now, held(float64(rapid.IntRange(1, 4).Draw(t, "weight"))), asked, func() bool { return urgent })
+				note(v, m, urgent)
+			case 3:
+				if w := l.Waiting(); len(w) > 0 {
+					for d := range Docs {
+						done, known := l.Ack(now, d, w[len(w)-1].Version)
+						if !known {
+							t.Fatal("what is on its way is not known")
+						}
+						for _, m := range done {
+							told = max(told, m.Mark)
+						}
+						if len(l.Waiting()) == 0 {
+							break
+						}
+					}
+				}
+			case 4:
+				if w := l.Waiting(); len(w) > 0 {
+					l.Refuse(now, w[0].Version)
+				}
+			case 5:
+				l.Ack(now, 0, "e.9999")
+			}
+			if l.Retry(now) && !l.Voided() {
+				t.Fatal("a retry that sends nothing")
+			}
+		}
+		// The end: time passes and all that is sent is confirmed; the last mark asked for has been told.
+		for range 4 {
+			now += span + second
+			v, m := l.Offer(now, l.Sent(), NoMark, no)
+			note(v, m, false)
+			if w := l.Waiting(); len(w) > 0 {
+				for d := range Docs {
+					done, _ := l.Ack(now, d, w[len(w)-1].Version)
+					for _, m := range done {
+						told = max(told, m.Mark)
+					}
+					if len(l.Waiting()) == 0 {
+						break
+					}
+				}
+			}
+		}
+		if told != asked {
+			t.Fatalf("mark %d was asked for, %d told", asked, told)
+		}
+	})
+}
+
+// What is urgent: an open line that a closed backend loses, a kind that gets its first open line.
+func TestCloses(t *testing.T) {
+	closed := func(b control.Backend) bool { return b == "a" }
+	for name, c := range map[string]struct {
+		from, to Snapshot
+		want     bool
+	}{
+		"a closed one is withheld":    {held(1, 1), held(-1, 1), true},
+		"a closed one loses its line": {held(1, 1), held(0, 1), true},
+		"an open one loses its line":  {held(1, 1, 1), held(1, 0, 1), false},
+		"it was withheld before":      {held(-1, 1), held(0, 1), false},
+		"a weight":                    {held(1, 1), held(1, 2), false},
+		"the first open line":         {held(-1), held(-1, 1), true},
+		"from nothing":                {Snapshot{}, held(1), true},
+	} {
+		if got := Closes(c.from, c.to, closed); got != c.want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
+
+// Checksums and refusals: the whole goes out again, later each time, and once what it holds is right nothing does.
+func TestBeliefIsVoid(t *testing.T) {
+	l := NewLedger("e", Budget{})
+	l.Join()
+	now, s := second, held(1, 2)
+	if v, _ := l.Offer(now, s, NoMark, no); v != Send {
+		t.Fatalf("after a join: %v", v)
+	}
+	confirm := func() {
+		for d := range Docs {
+			l.Ack(now, d, l.Waiting()[0].Version)
+			if len(l.Waiting()) == 0 {
+				break
+			}
+		}
+	}
+	confirm()
+	last := control.Micros(0)
+	for i := range 4 {
+		if _, right := l.Check(now, Checksum(s)+1); right {
+			t.Fatal("a wrong checksum passes")
+		}
+		began := now
+		for !l.Retry(now) {
+			now += second / 4
+		}
+		if wait := now - began; wait <= last {
+			t.Errorf("time %d: sent again after %d us, not later than the last", i, wait)
+		} else {
+			last = wait
+		}
+		if v, m := l.Offer(now, s, NoMark, no); v != Send || m.Changed != [Docs]bool{true, true} {
+			t.Fatalf("void: %v %+v", v, m)
+		}
+		confirm()
+	}
+	if _, right := l.Check(now, Checksum(s)); !right || l.Retry(now+60*second) {
+		t.Error("the right one does not pass, or is sent again")
+	}
+	if v, _ := l.Offer(now, s, NoMark, no); v != Nothing {
+		t.Errorf("nothing has changed: %v", v)
+	}
+	l.Offer(now, held(3), NoMark, no)
+	if _, known := l.Refuse(now, "other.1"); known {
+		t.Error("a refusal of what was never sent counts")
+	}
+	if again, known := l.Refuse(now, l.Waiting()[0].Version); !known || again != 2*second {
+		t.Errorf("a refusal: %d, %t", again, known)
+	}
+}
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -10,8 +10,6 @@
 	"porthub/control"
 )
 
-const second = control.Micros(1_000_000)
-
 func TestCost(t *testing.T) {
 	c := func(w ...float64) (s Snapshot) {
 		cl := Cluster{Kind: "view"}
