--- /dev/null
+++ b/capture/explain.go
@@ -0,0 +1,357 @@
+package capture
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"porthub/control"
+	"porthub/coordinator"
+)
+
+// Event is something that bore on a node, in words.
+type Event struct {
+	At   control.Micros `json:"at_us"`
+	Seq  uint64         `json:"record"`
+	What string         `json:"what"` // list, probe, report, order, sent, confirmed, note, start or gap
+	Text string         `json:"text"`
+}
+
+// Explanation says why a node got traffic at a time, or why not.
+type Explanation struct {
+	Node   control.Backend `json:"node"`
+	At     control.Micros  `json:"at_us"`
+	Chain  []Event         `json:"chain"` // the last of each sort before that time, and what led to it
+	Holds  []Holder        `json:"holds"` // gateways that held an open line of it then
+	Answer string          `json:"answer"`
+}
+
+// Holder is a gateway that held an open line of the node.
+type Holder struct {
+	Gateway coordinator.Gateway `json:"gateway"`
+	Version string              `json:"version"`
+	Kinds   []string            `json:"request_kinds"`
+	Weights []float64           `json:"weights"` // by request kind, of its cluster's sum
+	// Confirmed: it has said that it holds this; else it is on its way.
+	Confirmed bool           `json:"confirmed"`
+	Since     control.Micros `json:"since_us"` // when the line was first sent to it
+	Tries     int            `json:"tries"`    // in its last report before that time
+}
+
+// follow keeps what bears on one node while a capture is replayed.
+type follow struct {
+	node    control.Backend
+	at      control.Micros
+	chain   []Event
+	entry   *control.Entry
+	weights map[control.Table]float64
+	opens   map[coordinator.Gateway]*line // as sent
+	holds   map[coordinator.Gateway]*line // as confirmed
+	tries   map[coordinator.Gateway]int
+	errs    map[coordinator.Gateway]int
+	known   bool // the state is known
+}
+
+type line struct {
+	version string
+	since   control.Micros
+	kinds   []string
+	weights []float64
+}
+
+// Times finds the time of the first and last record of a capture that have one.
+func Times(r *Reader) (first, last control.Micros, err error) {
+	for {
+		rec, err := r.Next()
+		if err == io.EOF {
+			return first, last, nil
+		}
+		if err != nil {
+			return first, last, err
+		}
+		if rec.Step != nil {
+			if last = rec.Step.Now; first == 0 {
+				first = last
+			}
+		}
+	}
+}
+
+// Explain replays a capture up to a time and says what led to the node's lines as they were then.
+func Explain(r *Reader, node control.Backend, at control.Micros) (Explanation, error) {
+	f := &follow{node: node, at: at, weights: map[control.Table]float64{}}
+	f.begin()
+	seen := false
+	_, err := Replay(r, "", func(rec *Record, core *coordinator.Core, outputs []coordinator.Output) bool {
+		if rec.Step != nil && rec.Step.Now > at {
+			return false
+		}
+		seen = seen || rec.Step != nil
+		f.record(rec, outputs)
+		return true
+	})
+	if err != nil {
+		return Explanation{}, err
+	}
+	if !seen {
+		return Explanation{}, fmt.Errorf("capture: nothing was recorded up to that time")
+	}
+	return f.explain(), nil
+}
+
+func (f *follow) begin() {
+	f.opens, f.holds = map[coordinator.Gateway]*line{}, map[coordinator.Gateway]*line{}
+	f.tries, f.errs = map[coordinator.Gateway]int{}, map[coordinator.Gateway]int{}
+	clear(f.weights)
+	f.known = true
+}
+
+func (f *follow) say(at control.Micros, seq uint64, what, format string, args ...any) {
+	f.chain = append(f.chain, Event{at, seq, what, fmt.Sprintf(format, args...)})
+}
+
+func (f *follow) record(rec *Record, outputs []coordinator.Output) {
+	switch {
+	case rec.Start != nil:
+		f.begin()
+		f.say(control.Micros(rec.Start.Wall), rec.Seq, "start", "the coordinator started (%s)%s", rec.Start.Build, recalled(rec.Start))
+	case rec.Gap != nil:
+		f.begin()
+		f.known = false
+		f.say(0, rec.Seq, "gap", "records %d to %d are missing (%s): what was told then is not known", rec.Gap.From, rec.Gap.To, rec.Gap.Why)
+	case rec.Command != nil && rec.Command.Pin != nil:
+		f.say(0, rec.Seq, "command", "an operator pinned %s: %s", rec.Command.Pin.Scope, rec.Command.Pin.Reason)
+	case rec.Command != nil:
+		f.say(0, rec.Seq, "command", "an operator let pin %d go: %s", rec.Command.Unpin, rec.Command.Reason)
+	case rec.Step != nil:
+		f.step(rec, outputs)
+	}
+}
+
+func recalled(s *Start) string {
+	if s.Recalled == nil {
+		return ", knowing nothing of the time before"
+	}
+	return ", recalled " + s.Recalled.String()
+}
+
+func (f *follow) step(rec *Record, outputs []coordinator.Output) {
+	now, seq := rec.Step.Now, rec.Seq
+	for _, in := range rec.Step.Inputs {
+		switch in := in.(type) {
+		case coordinator.List:
+			f.list(now, seq, in)
+		case coordinator.Probed:
+			if in.Backend == f.node {
+				f.say(now, seq, "probe", "a probe of it: ok %t %s", in.OK, in.Code)
+			}
+		case coordinator.Report:
+			f.report(now, seq, in)
+		case coordinator.Ack:
+			// A confirmation of what was sent, or of something newer.
+			if open, sent := f.opens[in.Gateway]; in.Error == "" && in.Doc == coordinator.Endpoints && sent && open.version == in.Version {
+				if was := f.holds[in.Gateway]; was == nil || was.version != in.Version {
+					copied := *open
+					f.holds[in.Gateway] = &copied
+					f.say(now, seq, "confirmed", "%s confirmed %s, %s", in.Gateway, in.Version, open)
+				}
+			}
+		case coordinator.Leave:
+			if f.opens[in.Gateway] != nil {
+				f.say(now, seq, "left", "%s's link ended; it goes on by what it holds", in.Gateway)
+			}
+		}
+	}
+	for _, o := range rec.Step.Orders {
+		switch o := o.(type) {
+		case control.Line:
+			if o.Backend == f.node && f.weights[o.Table] != o.Weight {
+				f.say(now, seq, "order", "table %d: weight %.3f to %.3f", o.Table, f.weights[o.Table], o.Weight)
+				f.weights[o.Table] = o.Weight
+			}
+		case control.Clear:
+			if f.weights[o.Table] > 0 {
+				f.say(now, seq, "order", "table %d was cleared", o.Table)
+				f.weights[o.Table] = 0
+			}
+		case control.Withdraw:
+			if o.Backend == f.node {
+				f.say(now, seq, "order", "withdrawn from all tables: %t", o.On)
+			}
+		case control.Log:
+			if strings.Contains(o.Text, string(f.node)) {
+				f.say(now, seq, "note", "%s", o.Text)
+			}
+		}
+	}
+	for _, out := range outputs {
+		switch o := out.(type) {
+		case coordinator.Publish:
+			f.publish(now, seq, o)
+		case coordinator.Note:
+			if o.Event == "solver" && strings.Contains(o.Text, string(f.node)) {
+				f.say(now, seq, "note", "%s", o.Text)
+			}
+		}
+	}
+}
+
+func (f *follow) list(now control.Micros, seq uint64, l coordinator.List) {
+	for _, e := range l.Entries {
+		if e.Backend != f.node {
+			continue
+		}
+		if f.entry == nil || f.entry.Status != e.Status || f.entry.Launched != e.Launched && e.Launched > 0 {
+			started := ""
+			if e.Launched > 0 {
+				started = fmt.Sprintf(", started %.1f s before", float64(now-e.Launched)/1e6)
+			}
+			f.say(now, seq, "list", "the node list (version %d): %s in %s%s", l.Version, status(e.Status), e.Zone, started)
+		}
+		f.entry = &e
+		return
+	}
+	if l.How == control.ListFull && f.entry != nil && f.entry.Status != control.Gone && l.Why == "" {
+		f.say(now, seq, "list", "the node list (version %d) does not name it any more", l.Version)
+		gone := *f.entry
+		gone.Status = control.Gone
+		f.entry = &gone
+	}
+}
+
+func status(s control.Status) string {
+	return [...]string{"ready", "draining", "gone"}[min(max(s, 0), 2)]
+}
+
+func (f *follow) report(now control.Micros, seq uint64, r coordinator.Report) {
+	tries, errored := 0, 0
+	for _, k := range r.Kinds {
+		for _, e := range k.Endpoints {
+			if e.Backend == f.node {
+				tries, errored = tries+e.Tries, errored+e.Errored
+			}
+		}
+	}
+	began := tries > 0 && f.tries[r.Gateway] == 0
+	ended := tries == 0 && f.tries[r.Gateway] > 0
+	if began || ended || errored > 0 && f.errs[r.Gateway] == 0 {
+		f.say(now, seq, "report", "%s reports %d tries at it, %d errored, in %.1f s", r.Gateway, tries, errored, float64(r.Interval)/1e6)
+	}
+	f.tries[r.Gateway], f.errs[r.Gateway] = tries, errored
+}
+
+func (f *follow) publish(now control.Micros, seq uint64, p coordinator.Publish) {
+	if !p.Changed[coordinator.Endpoints] {
+		return
+	}
+	was := f.opens[p.Gateway]
+	open := &line{version: p.Version, since: now}
+	for _, c := range p.Snapshot.Clusters {
+		sum, own := 0.0, 0.0
+		for _, l := range c.Lines {
+			if l.Withheld {
+				continue
+			}
+			if sum += l.Weight; l.Backend == f.node {
+				own = l.Weight
+			}
+		}
+		if own > 0 {
+			open.kinds, open.weights = append(open.kinds, c.Kind), append(open.weights, own/sum)
+		}
+	}
+	if was != nil && len(was.kinds) > 0 && len(open.kinds) > 0 {
+		open.since = was.since
+	}
+	f.opens[p.Gateway] = open
+	if (was != nil && len(was.kinds) > 0) != (len(open.kinds) > 0) {
+		f.say(now, seq, "sent", "%s was sent %s, %s", p.Gateway, p.Version, open)
+	}
+}
+
+func (l *line) String() string {
+	if len(l.kinds) == 0 {
+		return "without an open line of it"
+	}
+	var parts []string
+	for i, k := range l.kinds {
+		parts = append(parts, fmt.Sprintf("%s %.1f%%", k, 100*l.weights[i]))
+	}
+	return "with it for " + strings.Join(parts, ", ")
+}
+
+// explain sums up: who held it, by what, and why nothing had taken it away.
+func (f *follow) explain() Explanation {
+	x := Explanation{Node: f.node, At: f.at}
+	for _, name := range slices.Sorted(maps.Keys(f.opens)) {
+		sent, held := f.opens[name], f.holds[name]
+		in := sent
+		if held != nil && len(held.kinds) > 0 {
+			in = held
+		}
+		if len(in.kinds) == 0 {
+			continue
+		}
+		x.Holds = append(x.Holds, Holder{Gateway: name, Version: in.version, Kinds: in.kinds, Weights: in.weights, Confirmed: held != nil && held.version == in.version,
+			Since: in.since, Tries: f.tries[name]})
+	}
+	x.Chain = f.short()
+	listed := "it is in no list"
+	closedAt := control.Micros(0)
+	if f.entry != nil {
+		listed = "the list has it as " + status(f.entry.Status)
+		for _, e := range f.chain {
+			if e.What == "list" {
+				closedAt = e.At
+			}
+		}
+	}
+	var tabled []string
+	for _, t := range slices.Sorted(maps.Keys(f.weights)) {
+		if w := f.weights[t]; w > 0 {
+			tabled = append(tabled, fmt.Sprintf("%d (weight %.3f)", t, w))
+		}
+	}
+	late := 0
+	for _, h := range x.Holds {
+		if sent := f.opens[h.Gateway]; len(sent.kinds) == 0 {
+			late++
+		}
+	}
+	switch {
+	case !f.known:
+		x.Answer = "records are missing before that time: what held then is not known"
+	case len(x.Holds) == 0 && len(f.chain) == 0:
+		x.Answer = "nothing that was recorded names it"
+	case len(x.Holds) == 0:
+		x.Answer = fmt.Sprintf("no gateway held an open line of it: %s; tables with it: %s", listed, orNone(tabled))
+	case f.entry != nil && f.entry.Status != control.Ready:
+		x.Answer = fmt.Sprintf("%s since %.1f s, but %d gateways still held a line of it; to %d of them the table without it had gone out and was not confirmed",
+			listed, float64(f.at-closedAt)/1e6, len(x.Holds), late)
+	default:
+		x.Answer = fmt.Sprintf("%d gateways held an open line of it: %s, and the module's tables name it: %s", len(x.Holds), listed, orNone(tabled))
+	}
+	return x
+}
+
+func orNone(s []string) string {
+	if len(s) == 0 {
+		return "none"
+	}
+	return strings.Join(s, ", ")
+}
+
+// short keeps the last few of each sort, in order: a flapping node has hundreds.
+func (f *follow) short() (out []Event) {
+	const each = 8
+	left := map[string]int{}
+	for _, e := range slices.Backward(f.chain) {
+		if left[e.What]++; left[e.What] <= each {
+			out = append(out, e)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
--- /dev/null
+++ b/capture/record.go
@@ -0,0 +1,236 @@
+// Package capture keeps everything that a coordinator's core was told, in order and with its time, and what it ordered
+// then, so that an evening can be replayed to the same orders and asked why a node got traffic. docs/capture-format.md
+// has the format.
+package capture
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/recovery"
+	"porthub/tables"
+)
+
+// Format is the version of the format that is written. Records of a newer one are not read.
+const Format = 1
+
+// Record is one record; one of its parts is set.
+type Record struct {
+	Seq     uint64   `cbor:"seq"` // from 1 on, anew in each start
+	Start   *Start   `cbor:"start,omitempty"`
+	Step    *Step    `cbor:"step,omitempty"`
+	Command *Command `cbor:"command,omitempty"`
+	Gap     *Gap     `cbor:"gap,omitempty"`
+	End     *End     `cbor:"end,omitempty"`
+}
+
+// Start is the first record of a process.
+type Start struct {
+	Format   int                  `cbor:"format"`
+	Build    string               `cbor:"build"` // decisions may differ in another one
+	Wall     int64                `cbor:"wall_us"`
+	Settings coordinator.Settings `cbor:"settings"`
+	Recalled *recovery.Belief     `cbor:"recalled,omitempty"` // what the core was handed of the time before
+}
+
+// Step is one step of the core: what it was told, what the module ordered, and a digest of what went out.
+type Step struct {
+	Now    control.Micros
+	Inputs []coordinator.Input
+	Orders []control.Order
+	Digest uint64
+	// Brief notes for staff: event, node and text, as the log has them.
+	Notes []coordinator.Note
+}
+
+// Command is an operator's word between two steps.
+type Command struct {
+	Pin    *tables.Pin `cbor:"pin,omitempty"`
+	Unpin  int         `cbor:"unpin,omitempty"`
+	Reason string      `cbor:"reason,omitempty"`
+}
+
+// Gap says that records are missing: what was told then is not known.
+type Gap struct {
+	From uint64 `cbor:"from"`
+	To   uint64 `cbor:"to"` // 0: not known, up to what comes next
+	Why  string `cbor:"why"`
+}
+
+// End is the last record of a process that ended by itself.
+type End struct {
+	Steps uint64 `cbor:"steps"`
+}
+
+// ErrFormat is a record that can't be read.
+var ErrFormat = errors.New("no record of a capture")
+
+// The names of inputs and orders in records. A name once given stays.
+var names, types = naming(map[string]any{
+	"list": coordinator.List{}, "join": coordinator.Join{}, "leave": coordinator.Leave{}, "ack": coordinator.Ack{},
+	"report": coordinator.Report{}, "probed": coordinator.Probed{}, "refused": coordinator.Refused{}, "failed": coordinator.Failed{},
+
+	"log": control.Log{}, "watch": control.Watch{}, "fetch": control.Fetch{}, "sleep": control.Sleep{}, "probe": control.Probe{},
+	"tell": control.Tell{}, "line": control.Line{}, "clear": control.Clear{}, "bind": control.Bind{}, "withdraw": control.Withdraw{},
+	"admit": control.Admit{}, "marked": control.Marked{},
+})
+
+func naming(all map[string]any) (map[reflect.Type]string, map[string]reflect.Type) {
+	n, t := map[reflect.Type]string{}, map[string]reflect.Type{}
+	for name, v := range all {
+		n[reflect.TypeOf(v)], t[name] = name, reflect.TypeOf(v)
+	}
+	return n, t
+}
+
+// tagged is an input or order with its name.
+type tagged struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value cbor.RawMessage
+}
+
+type stepRecord struct {
+	Now    control.Micros     `cbor:"now_us"`
+	Inputs []tagged           `cbor:"in,omitempty"`
+	Orders []tagged           `cbor:"out,omitempty"`
+	Digest uint64             `cbor:"digest,omitempty"`
+	Notes  []coordinator.Note `cbor:"notes,omitempty"`
+}
+
+func tag[T any](values []T) (out []tagged, err error) {
+	for _, v := range values {
+		name, known := names[reflect.TypeOf(v)]
+		if !known {
+			return nil, fmt.Errorf("capture: %T has no name", v)
+		}
+		raw, err := cbor.Marshal(v)
+		if err != nil {
+			return nil, fmt.Errorf("capture: %s: %w", name, err)
+		}
+		out = append(out, tagged{Name: name, Value: raw})
+	}
+	return out, nil
+}
+
+func untag[T any](in []tagged) (out []T, err error) {
+	for _, t := range in {
+		kind, known := types[t.Name]
+		if !known {
+			return nil, fmt.Errorf("%w: %q is not known here: a newer build wrote it", ErrFormat, t.Name)
+		}
+		v := reflect.New(kind)
+		if err := cbor.Unmarshal(t.Value, v.Interface()); err != nil {
+			return nil, fmt.Errorf("%w: %s: %v", ErrFormat, t.Name, err)
+		}
+		one, is := v.Elem().Interface().(T)
+		if !is {
+			return nil, fmt.Errorf("%w: %s stands in the wrong place", ErrFormat, t.Name)
+		}
+		out = append(out, one)
+	}
+	return out, nil
+}
+
+// MarshalCBOR writes a step.
+func (s *Step) MarshalCBOR() ([]byte, error) {
+	in, err := tag(s.Inputs)
+	if err != nil {
+		return nil, err
+	}
+	out, err := tag(s.Orders)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(stepRecord{s.Now, in, out, s.Digest, s.Notes})
+}
+
+// UnmarshalCBOR reads a step.
+func (s *Step) UnmarshalCBOR(text []byte) (err error) {
+	var r stepRecord
+	if err := cbor.Unmarshal(text, &r); err != nil {
+		return err
+	}
+	s.Now, s.Digest, s.Notes = r.Now, r.Digest, r.Notes
+	if s.Inputs, err = untag[coordinator.Input](r.Inputs); err != nil {
+		return err
+	}
+	s.Orders, err = untag[control.Order](r.Orders)
+	return err
+}
+
+// Digest is of what a step published: for each message its gateway, version and lines.
+func Digest(outputs []coordinator.Output) uint64 {
+	h, any := xxhash.New(), false
+	var buf [8]byte
+	num := func(n uint64) {
+		binary.LittleEndian.PutUint64(buf[:], n)
+		_, _ = h.Write(buf[:])
+	}
+	for _, o := range outputs {
+		p, is := o.(coordinator.Publish)
+		if !is {
+			continue
+		}
+		any = true
+		_, _ = h.WriteString(string(p.Gateway))
+		_, _ = h.WriteString(p.Version)
+		for _, c := range p.Snapshot.Clusters {
+			weights, withheld := uint64(0), uint64(0)
+			for _, l := range c.Lines {
+				if weights += math.Float64bits(l.Weight); l.Withheld {
+					withheld++
+				}
+			}
+			num(uint64(len(c.Lines)))
+			num(weights)
+			num(withheld)
+		}
+		for _, r := range p.Snapshot.Routes {
+			num(math.Float64bits(r.Rate))
+			num(math.Float64bits(r.Share))
+		}
+	}
+	if !any {
+		return 0
+	}
+	return h.Sum64()
+}
+
+// Plain is a record in a form for JSON: inputs and orders beside their names.
+func (r *Record) Plain() map[string]any {
+	out := map[string]any{"record": r.Seq}
+	switch {
+	case r.Start != nil:
+		out["start"] = r.Start
+	case r.Command != nil:
+		out["command"] = r.Command
+	case r.Gap != nil:
+		out["gap"] = r.Gap
+	case r.End != nil:
+		out["end"] = r.End
+	case r.Step != nil:
+		out["now_us"] = r.Step.Now
+		out["in"], out["out"] = plain(r.Step.Inputs), plain(r.Step.Orders)
+		if r.Step.Digest != 0 {
+			out["published"] = fmt.Sprintf("%x", r.Step.Digest)
+		}
+	}
+	return out
+}
+
+func plain[T any](values []T) []map[string]any {
+	out := []map[string]any{}
+	for _, v := range values {
+		out = append(out, map[string]any{names[reflect.TypeOf(v)]: v})
+	}
+	return out
+}
--- /dev/null
+++ b/capture/writer.go
@@ -0,0 +1,372 @@
+package capture
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+)
+
+// Limits bound what a capture costs.
+type Limits struct {
+	Budget  int64         // bytes of all segments; the oldest go first
+	Segment int64         // bytes of one, about
+	Age     time.Duration // of one
+	Queue   int           // records that wait for the disk; more are a gap
+}
+
+// Defaults fill what is left out.
+func (l Limits) Defaults() Limits {
+	if l.Budget == 0 {
+		l.Budget = 1 << 30
+	}
+	if l.Segment == 0 {
+		l.Segment = min(64<<20, l.Budget/8)
+	}
+	if l.Age == 0 {
+		l.Age = time.Hour
+	}
+	if l.Queue == 0 {
+		l.Queue = 4096
+	}
+	return l
+}
+
+// Stats are a writer's counts since its start.
+type Stats struct {
+	Records int64  `json:"records"` // that the system has taken
+	Bytes   int64  `json:"bytes"`
+	Lost    int64  `json:"lost"` // records of gaps
+	Gaps    int64  `json:"gaps"`
+	Failed  int64  `json:"failed"` // writes
+	Removed int64  `json:"segments_removed"`
+	BusyUS  int64  `json:"busy_us"` // time spent on encoding and writing
+	Why     string `json:"why,omitempty"`
+}
+
+// Writer appends records to a folder of segments. Put never waits: what the disk can't keep up with, or refuses, is a
+// gap, written as such once it can be.
+type Writer struct {
+	dir    string
+	limits Limits
+	queue  chan *Record
+	done   chan struct{}
+	once   sync.Once
+
+	lost  atomic.Int64 // since the last gap was written
+	last  atomic.Uint64
+	taken atomic.Uint64 // the last record that the system has
+
+	// Of the goroutine that writes.
+	file    *os.File
+	number  int
+	size    int64
+	opened  time.Time
+	encoder *zstd.Encoder
+	retryAt time.Time
+	next    uint64 // the record that should come next
+	gapFrom uint64
+
+	mu    sync.Mutex
+	stats Stats
+}
+
+// A block: what a write holds. All numbers are little-endian.
+const (
+	fileMagic  = "PHCAP01\n"
+	blockMagic = 0x314b4c42 // "BLK1"
+	blockHead  = 4 + 4 + 4 + 4 + 8
+	blockMost  = 256 << 20 // bytes of one, decoded or not
+	suffix     = ".cap"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// How many records make a block at most, how long one waits for more, and how long a refused write is not tried again.
+const (
+	batchMost = 128
+	batchWait = 50 * time.Millisecond
+	retryWait = time.Second
+)
+
+// NewWriter begins a new segment in a folder, beside what an earlier process left. Where it can't, that is tried again and
+// again, and what comes meanwhile is a gap.
+func NewWriter(dir string, limits Limits) *Writer {
+	w := &Writer{dir: dir, limits: limits.Defaults(), done: make(chan struct{}), next: 1}
+	w.queue = make(chan *Record, w.limits.Queue)
+	var err error
+	if w.encoder, err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1)); err != nil {
+		panic(err) // only bad options are errors
+	}
+	if err := w.open(); err != nil { // said at once, and tried again with the first record
+		w.count(func(s *Stats) { s.Failed, s.Why = s.Failed+1, err.Error() })
+	}
+	go w.run()
+	return w
+}
+
+// Segment is one file of a capture.
+type Segment struct {
+	Number int
+	Path   string
+	Bytes  int64
+}
+
+// Segments lists a folder's segments, the oldest first.
+func Segments(dir string) (out []Segment, err error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("capture: %w", err)
+	}
+	for _, e := range entries {
+		n, err := strconv.Atoi(strings.TrimSuffix(e.Name(), suffix))
+		if err != nil || !strings.HasSuffix(e.Name(), suffix) {
+			continue
+		}
+		info, err := e.Info()
+		if err != nil {
+			continue // removed meanwhile
+		}
+		out = append(out, Segment{n, filepath.Join(dir, e.Name()), info.Size()})
+	}
+	slices.SortFunc(out, func(a, b Segment) int { return a.Number - b.Number })
+	return out, nil
+}
+
+// Put hands a record over and numbers it. It never waits. What the record holds must not be changed after.
+func (w *Writer) Put(r *Record) uint64 {
+	r.Seq = w.last.Add(1)
+	select {
+	case w.queue <- r:
+	default:
+		w.lost.Add(1)
+	}
+	return r.Seq
+}
+
+// Taken is the last record that the system has taken: a killed process loses none up to it.
+func (w *Writer) Taken() uint64 { return w.taken.Load() }
+
+// Stats returns the counts.
+func (w *Writer) Stats() Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stats
+}
+
+// Close writes what waits.
+func (w *Writer) Close() {
+	w.once.Do(func() { close(w.queue) })
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for r := range w.queue {
+		batch := []*Record{r}
+		timer := time.NewTimer(batchWait)
+	gather:
+		for len(batch) < batchMost {
+			select {
+			case r, more := <-w.queue:
+				if !more {
+					break gather
+				}
+				batch = append(batch, r)
+			case <-timer.C:
+				break gather
+			}
+		}
+		timer.Stop()
+		began := time.Now()
+		w.write(batch)
+		w.count(func(s *Stats) { s.BusyUS += time.Since(began).Microseconds() })
+	}
+	if w.file != nil {
+		_ = w.file.Close()
+	}
+}
+
+func (w *Writer) count(do func(*Stats)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	do(&w.stats)
+}
+
+// write appends a batch as one block. Where numbers are missing, or an earlier batch could not be written, it begins
+// with the gap.
+func (w *Writer) write(batch []*Record) {
+	first := batch[0].Seq
+	if w.gapFrom == 0 && first > w.next {
+		w.gapFrom = w.next
+	}
+	w.next = batch[len(batch)-1].Seq + 1
+	if time.Now().Before(w.retryAt) {
+		w.miss(first, "")
+		return
+	}
+	var body bytes.Buffer
+	records := 0
+	put := func(r *Record) error {
+		text, err := cbor.Marshal(r)
+		if err != nil {
+			return err
+		}
+		var head [8]byte
+		binary.LittleEndian.PutUint32(head[:], uint32(len(text)))
+		binary.LittleEndian.PutUint32(head[4:], crc32.Checksum(text, castagnoli))
+		body.Write(head[:])
+		body.Write(text)
+		records++
+		return nil
+	}
+	var err error
+	if w.gapFrom > 0 {
+		err = put(&Record{Seq: w.gapFrom, Gap: &Gap{From: w.gapFrom, To: first - 1, Why: w.why()}})
+	}
+	expect := first
+	for _, r := range batch {
+		if err == nil && r.Seq > expect { // some were turned away while this batch was gathered
+			err = put(&Record{Seq: expect, Gap: &Gap{From: expect, To: r.Seq - 1, Why: "more came than could be written"}})
+			w.count(func(s *Stats) { s.Gaps, s.Lost = s.Gaps+1, s.Lost+int64(r.Seq-expect) })
+		}
+		if err == nil {
+			err = put(r)
+		}
+		expect = r.Seq + 1
+	}
+	if err == nil {
+		err = w.append(body.Bytes(), records, first)
+	}
+	if err != nil {
+		w.miss(first, err.Error())
+		w.retryAt = time.Now().Add(retryWait)
+		return
+	}
+	if w.gapFrom > 0 {
+		missing := int64(first - w.gapFrom)
+		w.count(func(s *Stats) { s.Gaps, s.Lost = s.Gaps+1, s.Lost+missing })
+		w.gapFrom = 0
+	}
+	w.taken.Store(batch[len(batch)-1].Seq)
+	w.count(func(s *Stats) { s.Records, s.Why = s.Records+int64(len(batch)), "" })
+}
+
+func (w *Writer) why() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stats.Why != "" {
+		return w.stats.Why
+	}
+	return "more came than could be written"
+}
+
+// miss makes a batch part of the gap.
+func (w *Writer) miss(first uint64, why string) {
+	if w.gapFrom == 0 {
+		w.gapFrom = first
+	}
+	if why != "" {
+		w.count(func(s *Stats) { s.Failed, s.Why = s.Failed+1, why })
+	}
+}
+
+func (w *Writer) append(body []byte, records int, first uint64) error {
+	if w.file != nil && (w.size >= w.limits.Segment || time.Since(w.opened) >= w.limits.Age) {
+		_ = w.file.Close()
+		w.file = nil
+	}
+	if w.file == nil {
+		if err := w.open(); err != nil {
+			return err
+		}
+	}
+	block := make([]byte, blockHead, blockHead+len(body)/4)
+	block = w.encoder.EncodeAll(body, block)
+	binary.LittleEndian.PutUint32(block, blockMagic)
+	binary.LittleEndian.PutUint32(block[8:], uint32(len(block)-blockHead))
+	binary.LittleEndian.PutUint32(block[12:], uint32(records))
+	binary.LittleEndian.PutUint64(block[16:], first)
+	binary.LittleEndian.PutUint32(block[4:], crc32.Checksum(block[8:], castagnoli))
+	n, err := w.file.Write(block)
+	if err != nil {
+		// A part of a block must not stand before the next one; a segment that can't be cut is left.
+		if n > 0 && w.file.Truncate(w.size) != nil {
+			_ = w.file.Close()
+			w.file = nil
+		} else if _, serr := w.file.Seek(w.size, 0); serr != nil {
+			_ = w.file.Close()
+			w.file = nil
+		}
+		w.budget() // a full disk may have room again
+		return err
+	}
+	w.size += int64(n)
+	w.count(func(s *Stats) { s.Bytes += int64(n) })
+	return nil
+}
+
+// open begins a segment.
+func (w *Writer) open() error {
+	if err := os.MkdirAll(w.dir, 0o755); err != nil {
+		return err
+	}
+	segments, err := Segments(w.dir)
+	if err != nil {
+		return err
+	}
+	if n := len(segments); n > 0 {
+		w.number = max(w.number, segments[n-1].Number)
+	}
+	for {
+		w.number++
+		f, err := os.OpenFile(filepath.Join(w.dir, fmt.Sprintf("%08d%s", w.number, suffix)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o644)
+		if errors.Is(err, os.ErrExist) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := f.WriteString(fileMagic); err != nil {
+			_ = f.Close()
+			_ = os.Remove(f.Name())
+			return err
+		}
+		w.file, w.size, w.opened = f, int64(len(fileMagic)), time.Now()
+		w.budget()
+		return nil
+	}
+}
+
+// budget removes the oldest segments until all fit.
+func (w *Writer) budget() {
+	segments, err := Segments(w.dir)
+	if err != nil {
+		return
+	}
+	total := int64(0)
+	for _, s := range segments {
+		total += s.Bytes
+	}
+	for _, s := range segments {
+		if total+w.limits.Segment <= w.limits.Budget || s.Number == w.number {
+			return
+		}
+		if os.Remove(s.Path) == nil {
+			total -= s.Bytes
+			w.count(func(st *Stats) { st.Removed++ })
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -35,6 +35,8 @@
 	Levels      string      `json:"levels"` // rate, share or off
 	Solver      Solver      `json:"solver"`
 	Limits      Limits      `json:"limits"`
+	Capture     Capture     `json:"capture"`
+	Recovery    Recovery    `json:"recovery"`
 }
 
 // Coordinator is this instance among its like.
@@ -139,6 +141,20 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Capture records what the core is told and orders.
+type Capture struct {
+	Enabled bool     `json:"enabled"`
+	Dir     string   `json:"dir"`     // empty: capture in the state folder; with neither there is none
+	Budget  int      `json:"budget"`  // bytes of all segments; the oldest go first
+	Segment int      `json:"segment"` // bytes of one, about
+	Age     Duration `json:"age"`     // of one
+}
+
+// Recovery is what is believed after a restart.
+type Recovery struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Limits bound what peers may cost.
 type Limits struct {
 	Connections int `json:"connections"` // in all
@@ -161,10 +177,12 @@
 		Reports: Reports{Period: 1 * s, LinesPer: 2000, Loads: []string{"util", "queue"}},
 		Gateways: Gateways{Expected: 1, ShunAfter: 5,
 			SilentAfter: 5 * s},
-		Probes: Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
-		Levels: "rate",
-		Solver: Solver{Enabled: true},
-		Limits: Limits{Connections: 30000, PerAddress: 30000},
+		Probes:   Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
+		Levels:   "rate",
+		Solver:   Solver{Enabled: true},
+		Limits:   Limits{Connections: 30000, PerAddress: 30000},
+		Capture:  Capture{Enabled: true, Budget: 1 << 30, Segment: 64 << 20, Age: 3600 * s},
+		Recovery: Recovery{Enabled: true},
 	}
 }
 
@@ -305,6 +323,9 @@
 		fmt.Sprintf("is %d", c.Front.Files.Writers), "it must be 1 to 64")
 	need(c.Front.Poll.Most > 0 && c.Front.Poll.Keep > 0, "front.poll", fmt.Sprintf("most is %d, deltas %d", c.Front.Poll.Most, c.Front.Poll.Keep),
 		"both must be 1 or more")
+	need(c.Capture.Segment >= 4096 && c.Capture.Budget >= 2*c.Capture.Segment && c.Capture.Age > 0, "capture",
+		fmt.Sprintf("budget is %d, segment %d, age %d us", c.Capture.Budget, c.Capture.Segment, c.Capture.Age),
+		"a segment has at least 4096 bytes, the budget is at least two of them, and age is above 0")
 	need(c.Limits.Connections > 0 && c.Limits.PerAddress > 0 && c.Limits.Requests >= 0, "limits",
 		fmt.Sprintf("has %d connections, %d from an address, %d requests", c.Limits.Connections, c.Limits.PerAddress, c.Limits.Requests),
 		"connections must be 1 or more, requests 0 or more")
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,6 +8,7 @@
 
 	"porthub/choice"
 	"porthub/control"
+	"porthub/recovery"
 	"porthub/tables"
 )
 
@@ -22,6 +23,7 @@
 	SilentAfter micros // without a word for so long a gateway counts as away
 	AllowEmpty  bool   // an empty list after one that was not is believed
 	Solver      bool   // tables that break limits give way to the solver's
+	Build       string // names the build, for snapshots and captures
 	Sync        bool   // documents are synced while the disk is quick enough for it
 }
 
@@ -49,10 +51,13 @@
 
 	made     map[madeKey]made // in this step
 	book     *tables.Book
-	later    []Output // of what was done between steps
-	lag      micros   // of confirmations, smoothed over eight
-	unsynced bool     // files go out without a sync
-	solving  *solving // nil: off
+	later    []Output         // of what was done between steps
+	lag      micros           // of confirmations, smoothed over eight
+	unsynced bool             // files go out without a sync
+	solving  *solving         // nil: off
+	belief   *recovery.Belief // of the time before this start; nil: none
+	released bool             // its weights are held no longer
+	rounds   int              // of reports from nearly all gateways, while belief lasts
 	sums     sums
 	reported bool // a report has been told to the module
 	counts   map[string]*count
@@ -97,6 +102,10 @@
 		events = append(events, c.input(in)...)
 	}
 	clear(c.made) // what came may have closed nodes
+	if c.belief != nil && c.belief.Until > 0 && c.now >= c.belief.Until && !c.released {
+		c.released = true
+		c.release()
+	}
 	events = append(events, c.watchGateways()...)
 	for {
 		due := c.due()
@@ -133,6 +142,9 @@
 	for _, t := range c.timers {
 		next = min(next, t.at)
 	}
+	if c.belief != nil && c.belief.Until > c.now {
+		next = min(next, c.belief.Until)
+	}
 	return max(next, c.now)
 }
 
@@ -293,6 +305,9 @@
 			made = c.make(g, key, kind.Name)
 			c.made[key] = made
 		}
+		if w, holds := c.held(g, int(k), kind.Name, c.lines[table]); holds {
+			made.cluster = c.build(kind.Name, w)
+		}
 		admit := made.admit
 		s.Clusters = append(s.Clusters, made.cluster)
 		r := tables.Route{Kind: kind.Name, Rate: tables.Unlimited, Share: 1, Timeout: kind.ClientTimeout}
@@ -311,6 +326,9 @@
 			}
 			r.SecondTry = a.SecondTry
 		}
+		if rate := c.belief.Rate(c.now, string(g.name), kind.Name); c.set.Up.Levels == control.LevelRate && r.Rate < 0 && rate >= 0 {
+			r.Rate = rate
+		}
 		if c.set.Up.Levels == control.LevelRate {
 			r.Rate = g.cap(int(k), admit, r)
 		}
@@ -338,9 +356,14 @@
 		weights = c.lines[key.table]
 	}
 	weights = c.inForce(g, key.table, int(key.kind), weights)
-	return made{tables.Build(name, weights, c.list.zone, func(b control.Backend) bool {
+	return made{c.build(name, weights), admit}
+}
+
+// build makes a cluster, with nothing open that the rules close.
+func (c *Core) build(name string, weights map[control.Backend]float64) tables.Cluster {
+	return tables.Build(name, weights, c.list.zone, func(b control.Backend) bool {
 		return c.withdrawn[b] || c.list.closed(b, c.set.Up.Rules.SoftRemoval)
-	}), admit}
+	})
 }
 
 // everything is a rate that no gateway comes near; the module says so to turn nothing away.
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -89,6 +89,7 @@
 	g.joined, g.joinedAt = true, c.now
 	g.binds = slices.Repeat([]control.Table{unbound}, len(c.set.Up.Kinds))
 	g.ledger.Join()
+	c.recalled(g)
 	g.checkAt = 0
 	return []control.Event{control.Joined{Proxy: g.proxy, Zone: g.zone, Fresh: g.fresh, Weight: g.weight}}
 }
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -107,8 +107,13 @@
 			e.Launched = old.Launched
 		}
 	case e.Launched > 0:
-	case !c.list.has || how == control.ListSaved:
+	case how == control.ListSaved:
 		e.Launched = old.Launched
+	case !c.list.has:
+		// The first fresh list of a start: what was not listed before the restart has started since.
+		if e.Launched = old.Launched; !known {
+			e.Launched, _ = c.belief.Started(e.Backend, c.now)
+		}
 	case !known || old.Status == control.Gone:
 		e.Launched = c.now
 	default:
--- /dev/null
+++ b/coordinator/recall.go
@@ -0,0 +1,97 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+
+	"porthub/control"
+	"porthub/recovery"
+	"porthub/tables"
+)
+
+// Package recovery decides what is believed of the time before a start; here is only where it goes in and comes out.
+
+// Remember is what a next start has to know. It shares what does not change with the core.
+func (c *Core) Remember() recovery.Snapshot {
+	s := recovery.Snapshot{Format: recovery.Format, Build: c.set.Build, Epoch: c.set.Epoch, At: c.now, Steps: c.steps, Version: c.list.version,
+		Nodes: c.present(), Pins: c.book.Keep(), Kinds: c.kindNames(), Zones: slices.Clone(c.set.Up.Zones)}
+	if c.solving != nil {
+		s.Speeds, s.Costs = c.solving.estimate.Keep()
+		s.Marks = c.solving.judge.Marks()
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.gateways)) {
+		g := c.gateways[name]
+		s.Gateways = append(s.Gateways, recovery.Gateway{Name: string(name), Zone: g.zone, Heard: g.heardAt, Weight: g.weight, Usage: slices.Clone(g.usage),
+			Version: g.ledger.Confirmed(int(Endpoints)).Version, Holds: g.ledger.Sent()})
+	}
+	if c.belief != nil { // one that has not come back yet is still remembered as it was
+		for _, name := range slices.Sorted(maps.Keys(c.belief.Gateways)) {
+			if c.gateways[Gateway(name)] == nil {
+				s.Gateways = append(s.Gateways, c.belief.Gateways[name])
+			}
+		}
+	}
+	return s
+}
+
+func (c *Core) kindNames() (names []string) {
+	for _, k := range c.set.Up.Kinds {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
+// Recall hands a core what is believed of the time before, before its first step; the list among it comes as an input of
+// its own.
+func (c *Core) Recall(now control.Micros, b recovery.Belief) {
+	c.now = max(c.now, now)
+	c.belief = &b
+	if c.solving != nil {
+		c.solving.estimate.Recall(b.Speeds, b.Costs, b.Part)
+		c.solving.judge.Recall(now, b.Marks)
+		for _, e := range b.Nodes { // what was learned is of these processes
+			c.solving.starts[e.Backend] = e.Launched
+		}
+	}
+	c.book.Recall(now, b.Pins)
+	c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: b.String()})
+	for _, why := range b.Why {
+		c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: why})
+	}
+}
+
+// recalled takes over what was known of a gateway that comes back.
+func (c *Core) recalled(g *gateway) {
+	if c.belief == nil {
+		return
+	}
+	if old, known := c.belief.Gateways[string(g.name)]; known && len(g.usage) == 0 && len(old.Usage) == len(c.set.Up.Kinds) {
+		g.usage = slices.Clone(old.Usage)
+	}
+}
+
+// held is what a gateway keeps of its old weights while the module has nothing to go by.
+func (c *Core) held(g *gateway, kind int, name string, w map[control.Backend]float64) (map[control.Backend]float64, bool) {
+	return c.belief.Holds(c.now, string(g.name), g.zone, name, w, func(b control.Backend) tables.Standing { return c.standing(b, kind, w) })
+}
+
+// believed counts the rounds of reports that nearly all gateways were in, and ends belief once there are enough.
+func (c *Core) believed(gathering bool) {
+	if c.belief == nil {
+		return
+	}
+	if !gathering && c.reported {
+		c.rounds++
+	}
+	if c.belief.Enough(c.now, c.rounds) {
+		c.note(Info, "recalled", "%d rounds of reports: the module's own tables are in force", c.rounds)
+		c.release()
+	}
+}
+
+// release has all gateways' documents held against the module's.
+func (c *Core) release() {
+	for _, g := range c.gateways {
+		g.owed = true
+	}
+}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -180,6 +180,7 @@
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.backend, b.backend))
 	})
 	gathering := c.gathering()
+	c.believed(gathering)
 	if c.solving != nil {
 		c.closeRound(gathering)
 	}
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -57,12 +57,7 @@
 		return w
 	}
 	held, pin, overruled := c.book.InForce(table, g.zone, w, func(b control.Backend) tables.Standing {
-		e, known := c.list.entries[b]
-		closed := !known || e.Status != control.Ready || c.withdrawn[b]
-		if c.solving != nil && c.solving.judge.Verdict(b, kind) != solver.Serves {
-			closed = true
-		}
-		return tables.Standing{Closed: closed, Now: w[b], Cold: known && c.warmth(e) < 1}
+		return c.standing(b, kind, w)
 	})
 	if overruled != "" {
 		c.complain("pin_overruled", "", "pin %d: %s", pin.ID, overruled)
@@ -70,5 +65,15 @@
 	return held
 }
 
+// standing is what the rules say of a backend now, whatever old weights say.
+func (c *Core) standing(b control.Backend, kind int, w map[control.Backend]float64) tables.Standing {
+	e, known := c.list.entries[b]
+	closed := !known || e.Status != control.Ready || c.withdrawn[b]
+	if c.solving != nil && c.solving.judge.Verdict(b, kind) != solver.Serves {
+		closed = true
+	}
+	return tables.Standing{Closed: closed, Now: w[b], Cold: known && c.warmth(e) < 1}
+}
+
 // Book is the versions and pins of all tables; it must not be changed.
 func (c *Core) Book() *tables.Book { return c.book }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -13,9 +12,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/renameio/v2"
 	"go.uber.org/zap"
 
+	"porthub/capture"
 	"porthub/config"
 	"porthub/control"
 	"porthub/coordinator"
@@ -47,8 +46,16 @@
 	source *file.Source
 	probes *prober
 	server *server
-	saves  chan control.List
+	saves  chan any // lists
+	snaps  chan any // snapshots
+	set    coordinator.Settings
+	writer *capture.Writer         // nil: no capture
 	took   *hdrhistogram.Histogram // steps of the core, microseconds; of the loop's goroutine
+
+	rememberedAt control.Micros
+	cantSave     bool // of the goroutine that saves
+	cantCapture  bool
+	gaps         int64
 }
 
 // Standing is how a running coordinator stands, as GET /tables answers.
@@ -57,6 +64,8 @@
 	Front files.Stats `json:"front"`
 	Poll  poll.Stats  `json:"poll"`
 	Steps Times       `json:"step_us"` // of the core
+	// Capture counts what was recorded; nil: it is off.
+	Capture *capture.Stats `json:"capture,omitempty"`
 }
 
 // Times are of a histogram, in microseconds.
@@ -68,8 +77,13 @@
 }
 
 func (d *Daemon) standing(c *coordinator.Core) []byte {
-	text, err := json.Marshal(Standing{c.Status(), d.front.Stats(), d.hub.Stats(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50),
-		d.took.ValueAtQuantile(99), d.took.Max()}})
+	s := Standing{c.Status(), d.front.Stats(), d.hub.Stats(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
+		d.took.Max()}, nil}
+	if d.writer != nil {
+		stats := d.writer.Stats()
+		s.Capture = &stats
+	}
+	text, err := json.Marshal(s)
 	if err != nil {
 		return fmt.Appendf(nil, `{"error": %q}`, err)
 	}
@@ -95,7 +109,7 @@
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: make(chan event, inboxLength),
-		saves: make(chan control.List, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
+		saves: make(chan any, 1), snaps: make(chan any, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
 	if d.clock == nil {
 		d.clock = NewClock()
 	}
@@ -108,9 +122,17 @@
 		}
 	}
 	now := d.clock.Now()
-	d.core = coordinator.New(coordinator.Settings{Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
+	d.set = coordinator.Settings{Build: Build(), Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
 		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled,
-		Sync: o.Config.Front.Files.Sync})
+		Sync: o.Config.Front.Files.Sync}
+	d.core = coordinator.New(d.set)
+	if dir := o.Config.Capture.Dir; o.Config.Capture.Enabled && (dir != "" || d.cfg.StateDir != "") {
+		if dir == "" {
+			dir = filepath.Join(d.cfg.StateDir, captureName)
+		}
+		d.writer = capture.NewWriter(dir, capture.Limits{Budget: int64(o.Config.Capture.Budget), Segment: int64(o.Config.Capture.Segment),
+			Age: time.Duration(o.Config.Capture.Age) * time.Microsecond})
+	}
 	front, err := files.Open(o.Config.Front.Files.Dir, o.Config.Front.Files.Writers, func(g coordinator.Gateway, err error) {
 		d.give(coordinator.Failed{Gateway: g, Why: err.Error()})
 	})
@@ -177,7 +199,7 @@
 		}
 	}()
 	d.log.Info("started", zap.String("listen", d.Addr()), zap.String("files", d.cfg.Front.Files.Dir))
-	inputs = d.saved()
+	inputs = d.recall(d.clock.Now(), d.set)
 	d.step(inputs)
 	for {
 		wait := d.core.Next() - d.clock.Now()
@@ -233,6 +255,8 @@
 	now, began := d.clock.Now(), time.Now()
 	outputs := d.core.Step(now, inputs)
 	_ = d.took.RecordValue(max(1, time.Since(began).Microseconds()))
+	d.captureStep(now, inputs, outputs)
+	urgent := false
 	for _, out := range outputs {
 		switch o := out.(type) {
 		case coordinator.Publish:
@@ -249,12 +273,14 @@
 			d.source.Fetch()
 		case coordinator.Save:
 			d.save(o.List)
+			urgent = true
 		case coordinator.Drop:
 			d.server.drop(o.Conn)
 		case coordinator.Note:
 			d.record(o)
 		}
 	}
+	d.remember(now, urgent)
 	if d.tap != nil {
 		d.tap(now, inputs, d.core)
 	}
@@ -294,7 +320,17 @@
 		}
 	}()
 	closed := make(chan struct{})
-	go func() { d.front.Close(); close(closed) }()
+	go func() {
+		if d.writer != nil {
+			d.capture(&capture.Record{End: &capture.End{Steps: d.core.Steps()}})
+			d.writer.Close()
+		}
+		if d.cfg.StateDir != "" {
+			_ = writeSnapshot(d.cfg.StateDir, d.core.Remember())
+		}
+		d.front.Close()
+		close(closed)
+	}()
 	select { // a slow disk must not hold up the end: an unfinished file is swept at the next start
 	case <-closed:
 	case <-time.After(endWithin):
@@ -304,67 +340,3 @@
 
 // endWithin is how long the end waits for files that are being written; a second is all there is for an end.
 const endWithin = 300 * time.Millisecond
-
-// The list is kept for the next start, whole and renamed.
-
-const savedName = "list.json"
-
-type savedList struct {
-	Version control.Version `json:"version"`
-	Entries []control.Entry `json:"entries"`
-}
-
-func (d *Daemon) saved() []coordinator.Input {
-	if d.cfg.StateDir == "" {
-		return nil
-	}
-	path := filepath.Join(d.cfg.StateDir, savedName)
-	text, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	var s savedList
-	if err == nil {
-		err = json.Unmarshal(text, &s)
-	}
-	if err != nil {
-		d.log.Warn("saved_list", zap.String("text", "can't be read: started without it"), zap.Error(err))
-		return nil
-	}
-	return []coordinator.Input{coordinator.List{List: control.List{Version: s.Version, How: control.ListSaved, Entries: s.Entries}}}
-}
-
-// save takes the place of a list that waits to be saved.
-func (d *Daemon) save(l control.List) {
-	for {
-		select {
-		case d.saves <- l:
-			return
-		default:
-		}
-		select {
-		case <-d.saves:
-		default:
-		}
-	}
-}
-
-func (d *Daemon) keep(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case l := <-d.saves:
-			if d.cfg.StateDir == "" {
-				continue
-			}
-			text, err := json.Marshal(savedList{l.Version, l.Entries})
-			if err == nil {
-				err = renameio.WriteFile(filepath.Join(d.cfg.StateDir, savedName), text, 0o644, renameio.WithTempDir(d.cfg.StateDir))
-			}
-			if err != nil {
-				d.log.Warn("saved_list", zap.String("text", "can't be kept: the next start goes without it"), zap.Error(err))
-			}
-		}
-	}
-}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -395,7 +395,7 @@
 	r := newRig(t, nil)
 	g := r.gateway("gw-1", "a")
 	r.until("tables", func() bool { g.turn(t); return g.held.Snapshot.Open("view") == 3 || g.held.Snapshot.Open("view") == 2 })
-	r.until("the list is kept", func() bool { _, err := os.Stat(filepath.Join(r.dir, "state", savedName)); return err == nil })
+	r.until("the list is kept", func() bool { _, err := os.Stat(filepath.Join(r.dir, "state", listName)); return err == nil })
 	old := g.held.EndpointsFrom
 	g.link.Close()
 	r.stop()
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 
+	"porthub/capture"
 	"porthub/control"
 	"porthub/coordinator"
 	"porthub/tables"
@@ -89,14 +90,24 @@
 			if r.Ago > 0 {
 				p.At = c.Status().Now - r.Ago
 			}
-			return operated(c.Pin(p))
+			held, err := c.Pin(p)
+			if err == nil {
+				d.capture(&capture.Record{Command: &capture.Command{Pin: &p}})
+			}
+			return operated(held, err)
 		}, 0, nil
 	case "POST /tables/unpin":
 		var r UnpinRequest
 		if err := read(&r); err != nil {
 			return nil, http.StatusBadRequest, err
 		}
-		return func(c *coordinator.Core) []byte { return operated(c.Unpin(r.ID, r.Reason)) }, 0, nil
+		return func(c *coordinator.Core) []byte {
+			p, err := c.Unpin(r.ID, r.Reason)
+			if err == nil {
+				d.capture(&capture.Record{Command: &capture.Command{Unpin: r.ID, Reason: r.Reason}})
+			}
+			return operated(p, err)
+		}, 0, nil
 	}
 	return nil, http.StatusNotFound, fmt.Errorf("nothing answers %s %s", req.Method, req.URL.Path)
 }
--- a/front/files/files.go
+++ b/front/files/files.go
@@ -247,7 +247,7 @@
 		return nil
 	}
 	// The hidden file stands in the same folder: a rename from elsewhere might copy, and a copy can be read half.
-	write := unsynced
+	write := Replace
 	if sync {
 		write = func(path string, text []byte) error {
 			return renameio.WriteFile(path, text, 0o644, renameio.WithTempDir(filepath.Dir(path)))
@@ -265,8 +265,8 @@
 	return nil
 }
 
-// unsynced replaces a file whole without waiting for the disk.
-func unsynced(path string, text []byte) error {
+// Replace replaces a file whole without waiting for the disk: a killed process leaves the one or the other.
+func Replace(path string, text []byte) error {
 	t, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"*")
 	if err != nil {
 		return err
--- a/solver/estimate.go
+++ b/solver/estimate.go
@@ -111,3 +111,40 @@
 	c := e.costs[k]
 	return (c.sum + doubt*mean) / (c.n + doubt) / mean
 }
+
+// Speed is what is remembered of a node: busy seconds and reqs done in them, by busy share.
+type Speed [4][2]float64
+
+// Keep is what is known of nodes, and of kinds: answers and the time they took.
+func (e *Estimate) Keep() (nodes map[control.Backend]Speed, costs [][2]float64) {
+	nodes = make(map[control.Backend]Speed, len(e.nodes))
+	for b, s := range e.nodes {
+		var k Speed
+		for i, bin := range s.bins {
+			k[i] = [2]float64{bin.n, bin.sum}
+		}
+		nodes[b] = k
+	}
+	for _, c := range e.costs {
+		costs = append(costs, [2]float64{c.n, c.sum})
+	}
+	return nodes, costs
+}
+
+// Recall takes in what was known before, for the part given: the less of it, the sooner fresh figures outweigh it.
+func (e *Estimate) Recall(nodes map[control.Backend]Speed, costs [][2]float64, part float64) {
+	for b, k := range nodes {
+		s := &speed{}
+		for i, bin := range k {
+			if bin[0] > 0 && bin[1] >= 0 && bin[0] <= 2*speedFull {
+				s.bins[i].n, s.bins[i].sum = part*bin[0], part*bin[1]
+			}
+		}
+		e.nodes[b] = s
+	}
+	for k, c := range costs {
+		if k < e.kinds && c[0] > 0 && c[1] > 0 {
+			e.costs[k].n, e.costs[k].sum = part*c[0], part*c[1]
+		}
+	}
+}
--- a/solver/judge.go
+++ b/solver/judge.go
@@ -1,6 +1,7 @@
 package solver
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -228,3 +229,31 @@
 		return Fails
 	}
 }
+
+// Mark is held against a node for a kind.
+type Mark struct {
+	Node    control.Backend `json:"node"`
+	Kind    int             `json:"kind"`
+	Backoff control.Micros  `json:"backoff_us"`
+}
+
+// Marks lists what is held against nodes, on trial ones too, in the order of their names.
+func (j *Judge) Marks() (marks []Mark) {
+	for p, r := range j.pairs {
+		if r.state != well {
+			marks = append(marks, Mark{p.node, p.kind, r.backoff})
+		}
+	}
+	slices.SortFunc(marks, func(a, b Mark) int { return cmp.Or(cmp.Compare(a.Node, b.Node), a.Kind-b.Kind) })
+	return marks
+}
+
+// Recall holds marks of before against their nodes: each is tried again as soon as after a first failure, whatever its
+// backoff was, which counts on if it fails again.
+func (j *Judge) Recall(now control.Micros, marks []Mark) {
+	for _, m := range marks {
+		if m.Kind >= 0 && m.Kind < j.kinds {
+			j.pairs[pair{m.Node, m.Kind}] = &record{state: failing, since: now, retryAt: now + firstRetry, backoff: min(max(m.Backoff, firstRetry), lastRetry)}
+		}
+	}
+}
--- a/tables/book.go
+++ b/tables/book.go
@@ -227,24 +227,37 @@
 	if err != nil {
 		return now, pin, fmt.Sprintf("table %d is younger than the pin", table)
 	}
+	w, masked, left := Mask(old.State.Weights(), standing)
+	if !left {
+		return now, pin, fmt.Sprintf("the rules leave no warm line of table %d: it is as the module has it", table)
+	}
+	if masked > 0 {
+		overruled = fmt.Sprintf("%d lines of table %d are masked by the rules", masked, table)
+	}
+	return w, pin, overruled
+}
+
+// Mask puts the rules over old weights: closed backends have no line, and a cold one's part beside the warm ones is no
+// larger than it is now. It is false where no warm line is left.
+func Mask(old Weights, standing func(control.Backend) Standing) (w Weights, masked int, left bool) {
 	w = Weights{}
-	masked, warmThen, warmNow := 0, 0.0, 0.0
+	warmThen, warmNow := 0.0, 0.0
 	var cold []control.Backend
-	old.State.each(func(be control.Backend, weight float64) {
+	for _, be := range slices.Sorted(maps.Keys(old)) {
 		switch s := standing(be); {
 		case s.Closed:
 			masked++
 		case s.Cold:
 			cold = append(cold, be)
 		default:
-			w[be] = weight
-			if warmThen += weight; s.Now > 0 {
+			w[be] = old[be]
+			if warmThen += old[be]; s.Now > 0 {
 				warmNow += s.Now
 			} else {
-				warmNow += weight
+				warmNow += old[be]
 			}
 		}
-	})
+	}
 	for _, be := range cold {
 		// Its part beside the warm ones must not grow: the weight of now, as the warm ones' has changed.
 		if s := standing(be); s.Now > 0 && warmNow > 0 {
@@ -253,11 +266,40 @@
 			masked++
 		}
 	}
-	if warmThen == 0 {
-		return now, pin, fmt.Sprintf("the rules leave no warm line of table %d: it is as the module has it", table)
+	return w, masked, warmThen > 0
+}
+
+// Kept is a pin with the states that it holds, for the next start.
+type Kept struct {
+	Pin   Pin                       `json:"pin"`
+	Holds map[control.Table]Weights `json:"holds"`
+}
+
+// Keep is what a next start has to know of the pins.
+func (b *Book) Keep() (kept []Kept) {
+	for _, p := range b.pins {
+		k := Kept{Pin: p, Holds: map[control.Table]Weights{}}
+		for t, v := range p.held {
+			if e, err := b.Get(t, v); err == nil {
+				k.Holds[t] = e.State.Weights()
+			}
+		}
+		kept = append(kept, k)
 	}
-	if masked > 0 {
-		overruled = fmt.Sprintf("%d lines of table %d are masked by the rules", masked, table)
+	return kept
+}
+
+// Recall takes the pins of an earlier start in. The states that they hold become the first versions of their tables.
+func (b *Book) Recall(now control.Micros, kept []Kept) {
+	for _, k := range kept {
+		p := k.Pin
+		p.held = map[control.Table]Version{}
+		for _, t := range slices.Sorted(maps.Keys(k.Holds)) {
+			b.next[t]++
+			b.tables[t] = append(b.tables[t], Entry{b.next[t], now, State{}.With(k.Holds[t])})
+			p.held[t] = b.next[t]
+		}
+		b.pinned = max(b.pinned, p.ID)
+		b.pins = append(b.pins, p)
 	}
-	return w, pin, overruled
 }
