--- a/capture/writer.go
+++ b/capture/writer.go
@@ -302,8 +302,8 @@
 	binary.LittleEndian.PutUint32(block[4:], crc32.Checksum(block[8:], castagnoli))
 	n, err := w.file.Write(block)
 	if err != nil {
-		// A part of a block must not stand before the next one; a segment that can't be cut is left.
-		if n > 0 && w.file.Truncate(w.size) != nil {
+		// A part of a block must not stand before the next one, and a file that can't grow is left for another.
+		if cerr := w.file.Truncate(w.size); cerr != nil || w.size > int64(len(fileMagic)) {
 			_ = w.file.Close()
 			w.file = nil
 		} else if _, serr := w.file.Seek(w.size, 0); serr != nil {
