--- a/audit/audit.go
+++ b/audit/audit.go
@@ -242,6 +242,48 @@
 	}
 }
 
+// Restart is one start of the coordinator after its first.
+type Restart struct {
+	Down, Up time.Duration
+	// First and All are when the first and the last gateway held a table of this start; 0: none, or not all before its end.
+	First, All time.Duration
+}
+
+// Restarts lists them.
+func (l *Log) Restarts() (out []Restart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 1; i < len(l.ups); i++ {
+		r := Restart{Down: l.ups[i-1].to, Up: l.ups[i].from}
+		all := true
+		for _, g := range l.gws {
+			first := time.Duration(0)
+			before := "" // the version that it held when this start began
+			for _, read := range g.reads {
+				if read.at < r.Up {
+					before = read.epoch
+				} else if read.epoch != "" && read.epoch != before && (l.ups[i].to == 0 || read.at < l.ups[i].to) {
+					first = read.at
+					break
+				}
+			}
+			if first == 0 {
+				all = false
+				continue
+			}
+			if r.First == 0 || first < r.First {
+				r.First = first
+			}
+			r.All = max(r.All, first)
+		}
+		if !all {
+			r.All = 0
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // Partial says that a gateway read a text that was no whole document.
 func (l *Log) Partial() {
 	l.mu.Lock()
--- /dev/null
+++ b/capture/bench_test.go
@@ -0,0 +1,45 @@
+package capture
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"porthub/control"
+	"porthub/coordinator"
+)
+
+// BenchmarkRecord is the cost of one round of reports in a capture, at a fleet's size: each gateway reports on all
+// nodes of its zone for three kinds.
+func BenchmarkRecord(b *testing.B) {
+	for _, size := range [][2]int{{18, 15}, {100, 300}} {
+		b.Run(fmt.Sprintf("%d_nodes_%d_gateways", size[0], size[1]), func(b *testing.B) {
+			w := NewWriter(b.TempDir(), Limits{})
+			var inputs []coordinator.Input
+			for g := range size[1] {
+				r := coordinator.Report{Gateway: coordinator.Gateway(fmt.Sprint("gw-", g)), Conn: coordinator.Conn(g), Seq: 7, Interval: second}
+				for _, kind := range []string{"schedule", "capacity", "save-sim"} {
+					k := coordinator.KindReport{Kind: kind, Arrived: 30}
+					for n := range min(20, size[0]/3) {
+						k.Endpoints = append(k.Endpoints, coordinator.EndpointReport{Backend: control.Backend(fmt.Sprintf("127.0.0.1:%d", 40000+3*n+g%3)), Tries: 3 + n + g,
+							Answer: control.Micros(160_000 + 100*n + g), Loads: control.Loads{"busy": 0.4 + float64(n)/100, "q": float64(g % 4)}})
+					}
+					r.Kinds = append(r.Kinds, k)
+				}
+				inputs = append(inputs, r)
+			}
+			n := 0
+			for b.Loop() {
+				w.Put(&Record{Step: &Step{Now: control.Micros(n), Inputs: inputs}})
+				n++
+				for w.Taken()+uint64(w.limits.Queue)/2 < uint64(n) {
+					runtime.Gosched()
+				}
+			}
+			w.Close()
+			s := w.Stats()
+			b.ReportMetric(float64(s.BusyUS)/float64(s.Records)/float64(len(inputs)), "us/input")
+			b.ReportMetric(float64(s.Bytes)/float64(s.Records)/float64(len(inputs)), "bytes/input")
+		})
+	}
+}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -326,9 +326,6 @@
 			}
 			r.SecondTry = a.SecondTry
 		}
-		if rate := c.belief.Rate(c.now, string(g.name), kind.Name); c.set.Up.Levels == control.LevelRate && r.Rate < 0 && rate >= 0 {
-			r.Rate = rate
-		}
 		if c.set.Up.Levels == control.LevelRate {
 			r.Rate = g.cap(int(k), admit, r)
 		}
--- a/drill/run.go
+++ b/drill/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"porthub/audit"
+	"porthub/capture"
 	"porthub/client"
 	"porthub/daemon"
 	"porthub/front/poll"
@@ -29,6 +30,7 @@
 	BreakRule string
 	Baselines bool
 	NoSolver  bool      // tables pass as the module wants them
+	Forgets   bool      // a start believes nothing of the time before but the list
 	Progress  io.Writer // a line a second; nil: none
 	Dir       string    // kept if given; else a folder of its own, removed at the end
 }
@@ -50,6 +52,7 @@
 	PeakKiB   int64                    `json:"peak_kib"`
 	StopMs    float64                  `json:"stop_ms"` // from SIGTERM to the end
 	Converged float64                  `json:"converged_s,omitempty"`
+	Restarts  []Restarted              `json:"restarts,omitempty"`
 	Baselines map[string]Baseline      `json:"baselines"`
 	Checks    []Outcome                `json:"checks"`
 	Cells     map[string]float64       `json:"cells"`   // service by kind@zone
@@ -57,6 +60,15 @@
 	Busiest   float64                  `json:"busiest"` // node over the mean, by work that came
 }
 
+// Restarted is one restart of the coordinator. Times are in seconds.
+type Restarted struct {
+	At      float64 `json:"at_s"` // of the kill
+	Down    float64 `json:"down_s"`
+	First   float64 `json:"first_table_s"` // from its start until a gateway holds a table of it
+	All     float64 `json:"all_tables_s"`  // until all do; 0: never
+	Service float64 `json:"service_10s"`   // of the reqs of the 10 s after the kill
+}
+
 // Latency is in milliseconds.
 type Latency struct {
 	P50 float64 `json:"p50"`
@@ -65,11 +77,12 @@
 
 // Written is what the coordinator did since its last start, by its own count; nothing is judged by it.
 type Written struct {
-	Messages int          `json:"messages"`
-	Files    int          `json:"files"`
-	Bytes    int64        `json:"bytes"`
-	Polls    poll.Stats   `json:"polls"`
-	Steps    daemon.Times `json:"step_us"`
+	Messages int           `json:"messages"`
+	Files    int           `json:"files"`
+	Bytes    int64         `json:"bytes"`
+	Polls    poll.Stats    `json:"polls"`
+	Steps    daemon.Times  `json:"step_us"`
+	Capture  capture.Stats `json:"capture"`
 }
 
 // Baseline is how another way of filling tables fared on the same seed.
@@ -141,7 +154,7 @@
 	}
 	defer logs.Close()
 	coord := &coordinatorProcess{f: main, cfg: s.Config(main.dir, "127.0.0.1:0", o.Seed), exe: o.Exe, logs: logs}
-	coord.cfg.Solver.Enabled = !o.NoSolver
+	coord.cfg.Solver.Enabled, coord.cfg.Recovery.Enabled = !o.NoSolver, !o.Forgets
 	main.coord = coord
 	for i, g := range main.gateways {
 		g.Polls = o.Front == "poll" || o.Front == "both" && i%2 == 1
@@ -182,6 +195,16 @@
 	res.Requests, res.Service, res.Worst10s = sum.Reqs, sum.Service(), main.tally.Worst(10)
 	res.Busiest = main.log.Busiest()
 	res.By5s = main.tally.Windows(5)
+	for _, r := range main.log.Restarts() {
+		one := Restarted{At: r.Down.Seconds(), Down: (r.Up - r.Down).Seconds(), Service: main.tally.Between(r.Down, r.Down+10*time.Second)}
+		if r.First > 0 {
+			one.First = (r.First - r.Up).Seconds()
+		}
+		if r.All > 0 {
+			one.All = (r.All - r.Up).Seconds()
+		}
+		res.Restarts = append(res.Restarts, one)
+	}
 	for c, s := range cells {
 		res.Cells[c.Kind+"@"+c.Zone] = s.Service()
 	}
@@ -243,6 +266,9 @@
 		w.Messages += g.Published
 	}
 	w.Files, w.Bytes, w.Polls, w.Steps = s.Front.Files, s.Front.Bytes, s.Poll, s.Steps
+	if s.Capture != nil {
+		w.Capture = *s.Capture
+	}
 	return w
 }
 
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,356 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"porthub/control"
+)
+
+// site is a membership with one registry (eureka) and one file that binds.
+type site struct {
+	t   *testing.T
+	m   *Membership
+	now control.Micros
+	// listed is the list as it was told last.
+	listed  []control.Entry
+	changes int
+	notes   []string
+}
+
+func newSite(t *testing.T) *site {
+	return &site{t: t, now: 1000 * second, m: New(Settings{Zones: []control.Zone{"a", "b"}, Binding: map[string]bool{"file": true},
+		Sources: []string{"file", "eureka", "other"}})}
+}
+
+func (s *site) step() {
+	list, changed, notes := s.m.Step(s.now)
+	if changed {
+		s.listed = list
+		s.changes++
+	}
+	s.notes = append(s.notes, notes...)
+}
+
+// says gives a source's whole answer: names with a mark after them, + up, * starting, o out of service, - down.
+func (s *site) says(source string, nodes ...string) {
+	a := Answer{Source: source}
+	for _, n := range nodes {
+		a.Claims = append(a.Claims, claim(n))
+	}
+	s.m.Take(s.now, a)
+	s.step()
+}
+
+func claim(n string) Claim {
+	c := Claim{Node: control.Backend(n[:len(n)-1]), Instance: n[:len(n)-1], Zone: control.Zone(n[:1]), Weight: 1, Launched: 10 * second}
+	c.Status = map[byte]Status{'+': Up, '*': Starting, 'o': OutOfService, '-': Down, '?': Unknown}[n[len(n)-1]]
+	return c
+}
+
+// pass lets time go by, a second at a time; the nodes named answer gateways.
+func (s *site) pass(seconds int, serving ...control.Backend) {
+	for range seconds {
+		s.now += second
+		for _, b := range serving {
+			s.m.Served(s.now, b, 5, 0)
+		}
+		s.step()
+	}
+}
+
+func (s *site) is(want map[control.Backend]string) {
+	s.t.Helper()
+	for _, v := range s.m.Verdicts() {
+		if w, asked := want[v.Node]; asked && v.Is != w {
+			s.t.Errorf("%s is %s (%s), want %s", v.Node, v.Is, v.Why, w)
+		}
+	}
+}
+
+func (s *site) lists(want ...string) {
+	s.t.Helper()
+	var got []string
+	for _, e := range s.listed {
+		mark := "+"
+		if e.Status == control.Draining {
+			mark = "o"
+		}
+		got = append(got, string(e.Backend)+mark)
+	}
+	if !slices.Equal(got, want) {
+		s.t.Errorf("the list is %v, want %v", got, want)
+	}
+}
+
+func (s *site) launched(b control.Backend) control.Micros {
+	for _, e := range s.listed {
+		if e.Backend == b {
+			return e.Launched
+		}
+	}
+	s.t.Fatalf("%s is not listed", b)
+	return 0
+}
+
+var six = []string{"a1+", "a2+", "a3+", "b1+", "b2+", "b3+"}
+var sixNodes = []control.Backend{"a1", "a2", "a3", "b1", "b2", "b3"}
+
+// The states of a registry one by one.
+func TestStatuses(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", "a1+", "a2*", "a3o", "b1-", "b2?")
+	s.lists("a1+", "a3o")
+	s.is(map[control.Backend]string{"a1": "ready", "a2": "waiting", "a3": "draining", "b1": "waiting", "b2": "gone"})
+	s.now += 5 * second
+	s.says("eureka", "a1+", "a2+", "a3+", "b1+", "b2+")
+	s.lists("a1+", "a2+", "a3+", "b1+", "b2+")
+	s.says("eureka", "a1+", "a2+", "a3+", "b1+")
+	s.lists("a1+", "a2+", "a3+", "b1+")
+	// Its check fails while gateways are answered: nothing new to it.
+	s.pass(2, "a1")
+	s.says("eureka", "a1-", "a2+", "a3+", "b1+")
+	s.lists("a1o", "a2+", "a3+", "b1+")
+}
+
+// A drain by any source counts at once, an operator's above all, and ends when the source takes it back.
+func TestDrains(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", six...)
+	s.says("file", six...)
+	s.says("file", "a1o", "a2+", "a3+", "b1+", "b2+", "b3+")
+	s.is(map[control.Backend]string{"a1": "draining"})
+	s.says("file", six...)
+	s.is(map[control.Backend]string{"a1": "ready"})
+	s.says("eureka", "a1+", "a2o", "a3+", "b1+", "b2+", "b3+")
+	s.is(map[control.Backend]string{"a2": "draining"})
+	if err := s.m.Drain(s.now, "a3", ""); err == nil {
+		t.Error("a drain without a reason")
+	}
+	if err := s.m.Drain(s.now, "z9", "why"); err == nil {
+		t.Error("a node that nobody names is drained")
+	}
+	if err := s.m.Drain(s.now, "a3", "disk"); err != nil {
+		t.Fatal(err)
+	}
+	s.says("eureka", six...)
+	s.lists("a1+", "a2+", "a3o", "b1+", "b2+", "b3+")
+	again := newSite(t)
+	again.m.Recall(again.now, s.m.Drains(), s.listed)
+	again.says("eureka", six...)
+	again.lists("a1+", "a2+", "a3o", "b1+", "b2+", "b3+")
+	if err := s.m.Undrain(s.now, "a3"); err != nil || s.m.Undrain(s.now, "a3") == nil {
+		t.Error(err)
+	}
+	s.step()
+	s.lists(six...)
+}
+
+// A registry that has forgotten half the fleet: who serves stays; those that left one by one go at once; one that binds is
+// believed.
+func TestForgottenHalf(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", six...)
+	s.pass(5, sixNodes...)
+	s.says("eureka", "a1+", "a2+", "b3+")
+	s.pass(3, sixNodes...)
+	s.lists(six...)
+	s.is(map[control.Backend]string{"a3": "held", "b1": "held", "b2": "held", "a1": "ready"})
+	s.says("eureka", six...) // it remembers
+	s.lists(six...)
+	s.says("eureka", "a1+", "a2+", "a3+", "b1+", "b2+") // one has left, and answers still
+	s.is(map[control.Backend]string{"b3": "gone"})
+	s.pass(30, sixNodes...)
+	s.says("eureka") // nothing at all
+	s.pass(3, sixNodes...)
+	s.lists("a1+", "a2+", "a3+", "b1+", "b2+")
+	// What does not answer any more goes, held or not; what does, not for ever.
+	s.pass(8, "a1", "b1")
+	s.lists("a1+", "b1+")
+	f := newSite(t)
+	f.says("file", six...)
+	f.pass(5, sixNodes...)
+	f.says("file", "a1+")
+	f.lists("a1+")
+}
+
+// By and by: two nodes an answer are forgotten too.
+func TestForgottenByAndBy(t *testing.T) {
+	s := newSite(t)
+	var all []string
+	var nodes []control.Backend
+	for i := range 9 {
+		all = append(all, fmt.Sprintf("a%d+", i))
+		nodes = append(nodes, control.Backend(fmt.Sprintf("a%d", i)))
+	}
+	s.says("eureka", all...)
+	s.pass(5, nodes...)
+	for n := 7; n >= 1; n -= 2 {
+		s.says("eureka", all[:n]...)
+		s.pass(1, nodes...)
+	}
+	if len(s.listed) < 7 {
+		t.Errorf("%d of 9 are left", len(s.listed))
+	}
+}
+
+// Registry down from the start, then empty; the other source carries the fleet.
+func TestSourcesStandIn(t *testing.T) {
+	s := newSite(t)
+	s.m.Take(s.now, Answer{Source: "eureka", Failed: "refused"})
+	s.step()
+	if s.changes != 0 {
+		t.Error("a list by nobody's word")
+	}
+	s.says("file", "a1+", "b1+")
+	s.lists("a1+", "b1+")
+	s.says("eureka")
+	s.lists("a1+", "b1+")
+	s.m.Take(s.now, Answer{Source: "eureka", Failed: "time-out"})
+	s.step()
+	s.lists("a1+", "b1+")
+	if text := strings.Join(s.notes, "\n"); !strings.Contains(text, "gives no answer: refused") || !strings.Contains(text, "answers again") {
+		t.Error(text)
+	}
+}
+
+// A mass re-registration after the registry's restart is no mass cold start; one process that really restarted is cold,
+// whatever else is true.
+func TestMassRegistration(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", six...)
+	s.pass(5, sixNodes...)
+	a := Answer{Source: "eureka"}
+	for _, n := range six {
+		c := claim(n)
+		c.Launched = s.now
+		a.Claims = append(a.Claims, c)
+	}
+	s.m.Take(s.now, a)
+	s.step()
+	for _, b := range sixNodes {
+		if at := s.launched(b); at != 10*second {
+			t.Errorf("%s is cold since %d", b, at)
+		}
+	}
+	s.pass(5, sixNodes...)
+	a.Claims[2].Launched = s.now
+	s.m.Take(s.now, a)
+	s.step()
+	if at := s.launched("a3"); at != s.now {
+		t.Errorf("it has restarted at %d, and counts as started at %d", s.now, at)
+	}
+	a.Claims[1].Instance = "another"
+	s.pass(2)
+	s.m.Take(s.now, a)
+	s.step()
+	if at := s.launched("a2"); at != s.now {
+		t.Errorf("another process under its address counts as started at %d, now %d", at, s.now)
+	}
+	a.Claims[0].Launched = s.now + 3600*second
+	s.m.Take(s.now, a)
+	s.step()
+	if at := s.launched("a1"); at > s.now {
+		t.Errorf("it starts in an hour: %d", at)
+	}
+}
+
+// A lagging peer of the registry does not take back what is known to be newer, and two claims of one address are one node.
+func TestPeersAndTwins(t *testing.T) {
+	s := newSite(t)
+	out := claim("a1o")
+	out.Changed = s.now
+	s.m.Take(s.now, Answer{Source: "eureka", Claims: []Claim{out, claim("b1+")}})
+	s.step()
+	lagging := claim("a1+")
+	lagging.Changed = s.now - 30*second
+	s.m.Take(s.now, Answer{Source: "eureka", Claims: []Claim{lagging, claim("b1+")}})
+	s.step()
+	s.is(map[control.Backend]string{"a1": "draining"})
+	old, young := claim("b1+"), claim("b1+")
+	old.Instance, old.Launched = "old", 5*second
+	young.Instance, young.Zone, young.Launched = "young", "a", s.now-second
+	for _, twins := range [][]Claim{{old, young}, {young, old}} {
+		s.m.Take(s.now, Answer{Source: "eureka", Claims: twins})
+		s.step()
+		if at := s.launched("b1"); at != s.now-second {
+			t.Errorf("the older twin counts: %d", at)
+		}
+	}
+	bad := claim("a1+")
+	bad.Zone = "elsewhere"
+	s.m.Take(s.now, Answer{Source: "eureka", Claims: []Claim{bad, young}})
+	s.step()
+	if !strings.Contains(strings.Join(s.notes, "\n"), "elsewhere") {
+		t.Error("an unknown zone passes unsaid")
+	}
+}
+
+// A node that goes up and down is out for longer each time and comes back cold; a list of it changes a few times in ten
+// minutes, not a hundred.
+func TestFlapping(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", six...)
+	before, longest, out := s.changes, 0, 0
+	for i := range 120 {
+		if i%2 == 0 {
+			s.says("eureka", "a1-", "a2+", "a3+", "b1+", "b2+", "b3+")
+		} else {
+			s.says("eureka", six...)
+		}
+		s.pass(5, "a2", "a3", "b1", "b2", "b3")
+		if !slices.ContainsFunc(s.listed, func(e control.Entry) bool { return e.Backend == "a1" }) {
+			if out++; out > longest {
+				longest = out
+			}
+		} else {
+			out = 0
+		}
+	}
+	if n := s.changes - before; n > 24 || longest < 12 {
+		t.Errorf("%d lists in ten minutes, out for %d s at most", n, 5*longest)
+	}
+	s.says("eureka", six...)
+	s.pass(400, sixNodes...)
+	s.lists(six...)
+	if at := s.launched("a1"); at < 1000*second {
+		t.Errorf("it comes back warm: %d", at)
+	}
+}
+
+// Never is a zone without anybody while nodes of it serve, unless a source that binds or an operator says so.
+func TestNeverEmptyWhileNodesServe(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", "a1+", "b1+")
+	s.pass(5, "a1", "b1")
+	s.says("eureka", "b1+")
+	s.lists("a1+", "b1+")
+	s.pass(20, "b1")
+	s.lists("b1+")
+	s.says("eureka", "a1+", "b1+")
+	s.pass(3, "a1", "b1")
+	if err := s.m.Drain(s.now, "a1", "why"); err != nil {
+		t.Fatal(err)
+	}
+	s.step()
+	s.lists("a1o", "b1+")
+}
+
+// What every source says stands beside what was decided.
+func TestVerdictsShowEvidence(t *testing.T) {
+	s := newSite(t)
+	s.says("file", "a1+")
+	s.says("eureka", "a1o", "a2+")
+	s.pass(1, "a1")
+	for _, v := range s.m.Verdicts() {
+		var said []string
+		for _, x := range v.Says {
+			said = append(said, x.Source+": "+x.Text)
+		}
+		if want := "eureka: out of service, file: up, gateways: answered"; v.Node == "a1" && (strings.Join(said, ", ") != want || v.Is != "draining" || v.Since == 0) {
+			t.Errorf("%v, %s since %d", said, v.Is, v.Since)
+		}
+	}
+}
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -63,8 +63,9 @@
 	Marks    []solver.Mark
 	Gateways map[string]Gateway
 	Pins     []tables.Kept
-	// Hold: gateways keep the weights that they hold, as far as the rules let them, until Until or until enough of them
-	// have reported.
+	// Until: gateways keep the weights that they hold, as far as the rules let them, so long, or until enough of them have
+	// reported, or until a fresh list has another fleet. Levels are not kept: one that was held while nodes came back
+	// turned away a tenth of all reqs for want of a reason.
 	Until control.Micros
 	// Why says in words what is not believed.
 	Why []string
@@ -192,17 +193,24 @@
 	return nil, false
 }
 
-// Rate is the level that a gateway keeps for a kind; below 0: none.
-func (b *Belief) Rate(now control.Micros, gateway, kind string) float64 {
+// Listed ends the holding of weights if the first fresh list has other nodes ready than the snapshot had: weights were made
+// for the fleet as it was.
+func (b *Belief) Listed(now control.Micros, entries []control.Entry) {
 	if b == nil || now >= b.Until {
-		return tables.Unlimited
+		return
 	}
-	for _, r := range b.Gateways[gateway].Holds.Routes {
-		if r.Kind == kind {
-			return r.Rate
+	ready := func(all []control.Entry) map[control.Backend]control.Micros {
+		out := map[control.Backend]control.Micros{}
+		for _, e := range all {
+			if e.Status == control.Ready {
+				out[e.Backend] = e.Launched
+			}
 		}
+		return out
+	}
+	if !maps.Equal(ready(b.Nodes), ready(entries)) {
+		b.Until = now
 	}
-	return tables.Unlimited
 }
 
 // Enough ends the holding of weights: rounds of reports that the module has had from nearly all gateways that are to be
--- a/standin/client.go
+++ b/standin/client.go
@@ -119,6 +119,17 @@
 	return worst
 }
 
+// Between is the service of the reqs that came in whole seconds between two times.
+func (t *Tally) Between(from, to time.Duration) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var s Sum
+	for i := int(from / time.Second); i < min(len(t.windows), int(to/time.Second)); i++ {
+		s = s.plus(t.windows[i])
+	}
+	return s.Service()
+}
+
 // Windows is the service of each stretch of so many seconds.
 func (t *Tally) Windows(seconds int) (out []float64) {
 	t.mu.Lock()
--- /dev/null
+++ b/standin/eureka/eureka.go
@@ -0,0 +1,385 @@
+// Package eureka is a small registry that speaks Eureka's REST operations on loopback, with faults on demand. It is a
+// stand-in for drills and tests: it shares no code with the client that it tests.
+package eureka
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are what a registry does wrong. The zero value does nothing wrong.
+type Faults struct {
+	Slow       time.Duration // before each answer
+	StaleDelta bool          // deltas stay as they were when it began
+	WrongHash  bool
+	Missing    float64       // this part of the instances is left out of whole answers and deltas
+	Refuse     int           // status code instead of an answer
+	Truncated  bool          // bodies end in the middle
+	Huge       int64         // bytes of filling in whole answers
+	Skew       time.Duration // of its clock
+	Lag        time.Duration // answers are as old as that
+	Restarted  bool          // all instances were registered anew, just now
+}
+
+// Registry holds instances. Peers share one with different faults.
+type Registry struct {
+	mu     sync.Mutex
+	insts  map[string]*Inst
+	recent []change
+	past   []snapshot
+	now    func() time.Time
+}
+
+// Inst is one instance as it is registered.
+type Inst struct {
+	App, ID, IP     string
+	Port            int
+	Status          string
+	Metadata        map[string]string
+	Dirty, Up, Seen time.Time
+}
+
+type change struct {
+	at     time.Time
+	action string
+	inst   Inst
+}
+
+type snapshot struct {
+	at    time.Time
+	insts []Inst
+}
+
+// deltaFor is how long a change stays in deltas.
+const deltaFor = 180 * time.Second
+
+// New makes an empty registry.
+func New() *Registry { return &Registry{insts: map[string]*Inst{}, now: time.Now} }
+
+func (r *Registry) changed(action string, i Inst) {
+	r.recent = append(r.recent, change{r.now(), action, i})
+	s := snapshot{at: r.now()}
+	for _, i := range r.insts {
+		s.insts = append(s.insts, *i)
+	}
+	if r.past = append(r.past, s); len(r.past) > 400 {
+		r.past = r.past[100:]
+	}
+}
+
+// Put registers an instance or changes its status.
+func (r *Registry) Put(i Inst) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	old := r.insts[i.App+"/"+i.ID]
+	action := "ADDED"
+	if old != nil {
+		action = "MODIFIED"
+		if i.Up.IsZero() {
+			i.Up = old.Up
+		}
+	}
+	if i.Status == "UP" && i.Up.IsZero() {
+		i.Up = now
+	}
+	i.Dirty, i.Seen = now, now
+	r.insts[i.App+"/"+i.ID] = &i
+	r.changed(action, i)
+}
+
+// Remove takes an instance out.
+func (r *Registry) Remove(app, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := r.insts[app+"/"+id]; i != nil {
+		delete(r.insts, app+"/"+id)
+		r.changed("DELETED", *i)
+	}
+}
+
+// Has tells whether an instance is registered.
+func (r *Registry) Has(app, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.insts[app+"/"+id] != nil
+}
+
+// Peer is a listening registry.
+type Peer struct {
+	Addr string // base URL
+
+	reg    *Registry
+	server *http.Server
+	mu     sync.Mutex
+	faults Faults
+	since  time.Time
+	Calls  int
+	Bytes  int64
+	Busy   map[string]int // calls by path
+}
+
+// Listen opens a peer of the registry on loopback.
+func (r *Registry) Listen() (*Peer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Peer{Addr: "http://" + l.Addr().String() + "/eureka", reg: r, Busy: map[string]int{}}
+	p.server = &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+// Close ends it.
+func (p *Peer) Close() { _ = p.server.Close() }
+
+// Fault sets what it does wrong from now on.
+func (p *Peer) Fault(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults, p.since = f, time.Now()
+}
+
+// Load tells what it was asked.
+func (p *Peer) Load() (calls int, bytes int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Calls, p.Bytes
+}
+
+func (p *Peer) serve(w http.ResponseWriter, req *http.Request) {
+	p.mu.Lock()
+	f, since := p.faults, p.since
+	p.Calls++
+	p.mu.Unlock()
+	if f.Slow > 0 {
+		select {
+		case <-time.After(f.Slow):
+		case <-req.Context().Done():
+			return
+		}
+	}
+	if f.Refuse > 0 {
+		http.Error(w, "refused", f.Refuse)
+		return
+	}
+	path := strings.Trim(strings.TrimPrefix(req.URL.Path, "/eureka"), "/")
+	parts := strings.Split(path, "/")
+	switch {
+	case req.Method == http.MethodGet && path == "apps":
+		p.answer(w, req, f, p.view(f), "", true)
+	case req.Method == http.MethodGet && path == "apps/delta":
+		p.answer(w, req, f, p.view(f), p.deltas(f, since), true)
+	case req.Method == http.MethodGet && len(parts) == 2 && (parts[0] == "apps" || parts[0] == "vips"):
+		var of []Inst
+		for _, i := range p.view(f) {
+			if i.App == strings.ToUpper(parts[1]) || parts[0] == "vips" && i.Metadata["vip"] == parts[1] {
+				of = append(of, i)
+			}
+		}
+		if len(of) == 0 {
+			http.NotFound(w, req)
+			return
+		}
+		p.answer(w, req, f, of, "", parts[0] == "vips")
+	case req.Method == http.MethodPost && len(parts) == 2 && parts[0] == "apps":
+		var body struct {
+			Instance struct {
+				ID   string `json:"instanceId"`
+				IP   string `json:"ipAddr"`
+				Port struct {
+					N int `json:"$"`
+				} `json:"port"`
+			} `json:"instance"`
+		}
+		if json.NewDecoder(io.LimitReader(req.Body, 1<<20)).Decode(&body) != nil || body.Instance.ID == "" {
+			http.Error(w, "bad instance", http.StatusBadRequest)
+			return
+		}
+		p.reg.Put(Inst{App: parts[1], ID: body.Instance.ID, IP: body.Instance.IP, Port: body.Instance.Port.N, Status: "UP"})
+		w.WriteHeader(http.StatusNoContent)
+	case req.Method == http.MethodPut && len(parts) == 3 && parts[0] == "apps":
+		if !p.reg.renew(parts[1], parts[2]) {
+			http.NotFound(w, req)
+		}
+	case req.Method == http.MethodDelete && len(parts) == 3 && parts[0] == "apps":
+		p.reg.Remove(parts[1], parts[2])
+	default:
+		http.NotFound(w, req)
+	}
+}
+
+func (r *Registry) renew(app, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.insts[app+"/"+id]
+	if i != nil {
+		i.Seen = r.now()
+	}
+	return i != nil
+}
+
+// view is what a peer has of the instances, with its faults.
+func (p *Peer) view(f Faults) (out []Inst) {
+	p.reg.mu.Lock()
+	defer p.reg.mu.Unlock()
+	for _, i := range p.reg.insts {
+		out = append(out, *i)
+	}
+	if f.Lag > 0 {
+		out = nil
+		for _, s := range p.reg.past {
+			if p.reg.now().Sub(s.at) >= f.Lag {
+				out = append([]Inst(nil), s.insts...)
+			}
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	if f.Missing > 0 {
+		left := out[:0]
+		for n, i := range out {
+			if float64(n%10) >= 10*f.Missing { // spread over all
+				left = append(left, i)
+			}
+		}
+		out = left
+	}
+	return out
+}
+
+// deltas are the changes of late, as JSON members, or stale ones.
+func (p *Peer) deltas(f Faults, since time.Time) string {
+	p.reg.mu.Lock()
+	defer p.reg.mu.Unlock()
+	var parts []string
+	for _, c := range p.reg.recent {
+		if p.reg.now().Sub(c.at) > deltaFor || f.StaleDelta && c.at.After(since) {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf(`{"name": %q, "instance": [%s]}`, c.inst.App, p.member(f, c.inst, c.action)))
+	}
+	return "[" + strings.Join(parts, ",") + "]"
+}
+
+func (p *Peer) member(f Faults, i Inst, action string) string {
+	ms := func(t time.Time) int64 {
+		if t.IsZero() {
+			return 0
+		}
+		return t.Add(f.Skew).UnixMilli()
+	}
+	up := i.Up
+	if f.Restarted {
+		up = p.since
+	}
+	m := map[string]any{"instanceId": i.ID, "hostName": i.IP, "app": i.App, "ipAddr": i.IP, "status": i.Status, "overriddenStatus": "UNKNOWN",
+		"port": map[string]any{"$": i.Port, "@enabled": "true"}, "metadata": i.Metadata, "lastDirtyTimestamp": fmt.Sprint(ms(i.Dirty)),
+		"lastUpdatedTimestamp": fmt.Sprint(ms(i.Dirty)), "leaseInfo": map[string]any{"renewalIntervalInSecs": 30, "durationInSecs": 90,
+			"registrationTimestamp": ms(up), "lastRenewalTimestamp": ms(i.Seen), "evictionTimestamp": 0, "serviceUpTimestamp": ms(up)}}
+	if action != "" {
+		m["actionType"] = action
+	}
+	text, _ := json.Marshal(m)
+	return string(text)
+}
+
+func (p *Peer) answer(w http.ResponseWriter, req *http.Request, f Faults, insts []Inst, delta string, all bool) {
+	counts := map[string]int{}
+	for _, i := range insts {
+		counts[i.Status]++
+	}
+	var names []string
+	for s := range counts {
+		names = append(names, s)
+	}
+	sort.Strings(names)
+	hash := ""
+	for _, s := range names {
+		hash += fmt.Sprintf("%s_%d_", s, counts[s])
+	}
+	if f.WrongHash {
+		hash = "UP_99999_"
+	}
+	if strings.Contains(req.Header.Get("Accept"), "xml") && delta == "" {
+		p.xml(w, f, insts, hash)
+		return
+	}
+	apps := map[string][]string{}
+	for _, i := range insts {
+		apps[i.App] = append(apps[i.App], p.member(f, i, ""))
+	}
+	var parts []string
+	names = names[:0]
+	for a := range apps {
+		names = append(names, a)
+	}
+	sort.Strings(names)
+	for _, a := range names {
+		parts = append(parts, fmt.Sprintf(`{"name": %q, "instance": [%s]}`, a, strings.Join(apps[a], ",")))
+	}
+	list := "[" + strings.Join(parts, ",") + "]"
+	if delta != "" {
+		list = delta
+	}
+	text := fmt.Sprintf(`{"applications": {"versions__delta": "1", "apps__hashcode": %q, "application": %s}}`, hash, list)
+	if !all && len(parts) == 1 {
+		text = fmt.Sprintf(`{"application": %s}`, parts[0])
+	}
+	if f.Huge > 0 {
+		text = text[:len(text)-1] + `, "filling": "` + strings.Repeat("x", int(f.Huge)) + `"}`
+	}
+	p.write(w, f, "application/json", text)
+}
+
+func (p *Peer) xml(w http.ResponseWriter, f Faults, insts []Inst, hash string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "<applications><versions__delta>1</versions__delta><apps__hashcode>%s</apps__hashcode>", hash)
+	for _, i := range insts {
+		fmt.Fprintf(&b, `<application><name>%s</name><instance><instanceId>%s</instanceId><hostName>%s</hostName><app>%s</app><ipAddr>%s</ipAddr><status>%s</status><port enabled="true">%d</port><leaseInfo><durationInSecs>90</durationInSecs><lastRenewalTimestamp>%d</lastRenewalTimestamp><serviceUpTimestamp>%d</serviceUpTimestamp></leaseInfo><metadata>`,
+			i.App, i.ID, i.IP, i.App, i.IP, i.Status, i.Port, i.Seen.UnixMilli(), i.Up.UnixMilli())
+		for k, v := range i.Metadata {
+			fmt.Fprintf(&b, "<%s>%s</%s>", k, v, k)
+		}
+		fmt.Fprintf(&b, "</metadata><lastDirtyTimestamp>%d</lastDirtyTimestamp></instance></application>", i.Dirty.UnixMilli())
+	}
+	b.WriteString("</applications>")
+	p.write(w, f, "application/xml", b.String())
+}
+
+func (p *Peer) write(w http.ResponseWriter, f Faults, kind, text string) {
+	w.Header().Set("Content-Type", kind)
+	if f.Truncated {
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		text = text[:len(text)/2]
+	}
+	n, _ := io.WriteString(w, text)
+	p.mu.Lock()
+	p.Bytes += int64(n)
+	p.mu.Unlock()
+	if f.Truncated {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// RenewAll renews every lease but those named.
+func (r *Registry) RenewAll(but ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+next:
+	for _, i := range r.insts {
+		for _, id := range but {
+			if i.ID == id {
+				continue next
+			}
+		}
+		i.Seen = r.now()
+	}
+}
