--- a/capture/explain.go
+++ b/capture/explain.go
@@ -38,6 +38,7 @@
 	Confirmed bool           `json:"confirmed"`
 	Since     control.Micros `json:"since_us"` // when the line was first sent to it
 	Tries     int            `json:"tries"`    // in its last report before that time
+	Away      bool           `json:"away"`     // its link had ended: nothing could be told it
 }
 
 // follow keeps what bears on one node while a capture is replayed.
@@ -51,7 +52,9 @@
 	holds   map[coordinator.Gateway]*line // as confirmed
 	tries   map[coordinator.Gateway]int
 	errs    map[coordinator.Gateway]int
-	known   bool // the state is known
+	known   bool              // the state is known
+	says    map[string]string // by registry
+	away    map[coordinator.Gateway]bool
 }
 
 type line struct {
@@ -105,6 +108,7 @@
 	f.opens, f.holds = map[coordinator.Gateway]*line{}, map[coordinator.Gateway]*line{}
 	f.tries, f.errs = map[coordinator.Gateway]int{}, map[coordinator.Gateway]int{}
 	clear(f.weights)
+	f.says, f.away = map[string]string{}, map[coordinator.Gateway]bool{}
 	f.known = true
 }
 
@@ -123,7 +127,11 @@
 		f.say(0, rec.Seq, "gap", "records %d to %d are missing (%s): what was told then is not known", rec.Gap.From, rec.Gap.To, rec.Gap.Why)
 	case rec.Command != nil && rec.Command.Pin != nil:
 		f.say(0, rec.Seq, "command", "an operator pinned %s: %s", rec.Command.Pin.Scope, rec.Command.Pin.Reason)
-	case rec.Command != nil:
+	case rec.Command != nil && rec.Command.Drain == f.node:
+		f.say(0, rec.Seq, "command", "an operator drained it: %s", rec.Command.Reason)
+	case rec.Command != nil && rec.Command.Undrain == f.node:
+		f.say(0, rec.Seq, "command", "an operator let it in again: %s", rec.Command.Reason)
+	case rec.Command != nil && rec.Command.Unpin > 0:
 		f.say(0, rec.Seq, "command", "an operator let pin %d go: %s", rec.Command.Unpin, rec.Command.Reason)
 	case rec.Step != nil:
 		f.step(rec, outputs)
@@ -143,6 +151,8 @@
 		switch in := in.(type) {
 		case coordinator.List:
 			f.list(now, seq, in)
+		case coordinator.Told:
+			f.told(now, seq, in)
 		case coordinator.Probed:
 			if in.Backend == f.node {
 				f.say(now, seq, "probe", "a probe of it: ok %t %s", in.OK, in.Code)
@@ -158,7 +168,10 @@
 					f.say(now, seq, "confirmed", "%s confirmed %s, %s", in.Gateway, in.Version, open)
 				}
 			}
+		case coordinator.Join:
+			delete(f.away, in.Gateway)
 		case coordinator.Leave:
+			f.away[in.Gateway] = true
 			if f.opens[in.Gateway] != nil {
 				f.say(now, seq, "left", "%s's link ended; it goes on by what it holds", in.Gateway)
 			}
@@ -191,7 +204,7 @@
 		case coordinator.Publish:
 			f.publish(now, seq, o)
 		case coordinator.Note:
-			if o.Event == "solver" && strings.Contains(o.Text, string(f.node)) {
+			if (o.Event == "solver" || o.Event == "membership") && strings.Contains(o.Text, string(f.node)) {
 				f.say(now, seq, "note", "%s", o.Text)
 			}
 		}
@@ -221,6 +234,23 @@
 	}
 }
 
+// told follows what a registry says of the node.
+func (f *follow) told(now control.Micros, seq uint64, a coordinator.Told) {
+	text := "does not name it"
+	for _, c := range a.Claims {
+		if c.Node == f.node {
+			text = fmt.Sprintf("has it %s in %s", c.Status, c.Zone)
+		}
+	}
+	if a.Failed != "" {
+		text = "gives no answer: " + a.Failed
+	}
+	if f.says[a.Source] != text {
+		f.says[a.Source] = text
+		f.say(now, seq, "list", "%s %s", a.Source, text)
+	}
+}
+
 func status(s control.Status) string {
 	return [...]string{"ready", "draining", "gone"}[min(max(s, 0), 2)]
 }
@@ -295,7 +325,7 @@
 			continue
 		}
 		x.Holds = append(x.Holds, Holder{Gateway: name, Version: in.version, Kinds: in.kinds, Weights: in.weights, Confirmed: held != nil && held.version == in.version,
-			Since: in.since, Tries: f.tries[name]})
+			Since: in.since, Tries: f.tries[name], Away: f.away[name]})
 	}
 	x.Chain = f.short()
 	listed := "it is in no list"
@@ -314,9 +344,11 @@
 			tabled = append(tabled, fmt.Sprintf("%d (weight %.3f)", t, w))
 		}
 	}
-	late := 0
+	late, away := 0, 0
 	for _, h := range x.Holds {
-		if sent := f.opens[h.Gateway]; len(sent.kinds) == 0 {
+		if h.Away {
+			away++
+		} else if sent := f.opens[h.Gateway]; len(sent.kinds) == 0 {
 			late++
 		}
 	}
@@ -328,8 +360,8 @@
 	case len(x.Holds) == 0:
 		x.Answer = fmt.Sprintf("no gateway held an open line of it: %s; tables with it: %s", listed, orNone(tabled))
 	case f.entry != nil && f.entry.Status != control.Ready:
-		x.Answer = fmt.Sprintf("%s since %.1f s, but %d gateways still held a line of it; to %d of them the table without it had gone out and was not confirmed",
-			listed, float64(f.at-closedAt)/1e6, len(x.Holds), late)
+		x.Answer = fmt.Sprintf("%s since %.1f s, but %d gateways still held a line of it: %d had no link and could be told nothing, to %d the table without it had gone out and was not confirmed",
+			listed, float64(f.at-closedAt)/1e6, len(x.Holds), away, late)
 	default:
 		x.Answer = fmt.Sprintf("%d gateways held an open line of it: %s, and the module's tables name it: %s", len(x.Holds), listed, orNone(tabled))
 	}
--- a/capture/record.go
+++ b/capture/record.go
@@ -53,9 +53,12 @@
 
 // Command is an operator's word between two steps.
 type Command struct {
-	Pin    *tables.Pin `cbor:"pin,omitempty"`
-	Unpin  int         `cbor:"unpin,omitempty"`
-	Reason string      `cbor:"reason,omitempty"`
+	Pin   *tables.Pin `cbor:"pin,omitempty"`
+	Unpin int         `cbor:"unpin,omitempty"`
+	// Drain or Undrain names a node.
+	Drain   control.Backend `cbor:"drain,omitempty"`
+	Undrain control.Backend `cbor:"undrain,omitempty"`
+	Reason  string          `cbor:"reason,omitempty"`
 }
 
 // Gap says that records are missing: what was told then is not known.
@@ -75,7 +78,7 @@
 
 // The names of inputs and orders in records. A name once given stays.
 var names, types = naming(map[string]any{
-	"list": coordinator.List{}, "join": coordinator.Join{}, "leave": coordinator.Leave{}, "ack": coordinator.Ack{},
+	"list": coordinator.List{}, "told": coordinator.Told{}, "join": coordinator.Join{}, "leave": coordinator.Leave{}, "ack": coordinator.Ack{},
 	"report": coordinator.Report{}, "probed": coordinator.Probed{}, "refused": coordinator.Refused{}, "failed": coordinator.Failed{},
 
 	"log": control.Log{}, "watch": control.Watch{}, "fetch": control.Fetch{}, "sleep": control.Sleep{}, "probe": control.Probe{},
--- a/capture/replay.go
+++ b/capture/replay.go
@@ -120,9 +120,14 @@
 
 // command gives an operator's word again; it held when it was given.
 func command(core *coordinator.Core, c Command) {
-	if c.Pin != nil {
+	switch {
+	case c.Pin != nil:
 		_, _ = core.Pin(*c.Pin)
-	} else {
+	case c.Drain != "":
+		_ = core.DrainNode(c.Drain, c.Reason)
+	case c.Undrain != "":
+		_ = core.UndrainNode(c.Undrain, c.Reason)
+	default:
 		_, _ = core.Unpin(c.Unpin, c.Reason)
 	}
 }
--- a/cmd/porthub/capture.go
+++ b/cmd/porthub/capture.go
@@ -210,13 +210,17 @@
 				fmt.Fprintf(t, "%s\t%s\t%s\n", clock(e.At), e.What, e.Text)
 			}
 			if len(x.Holds) > 0 {
-				fmt.Fprintf(t, "\ngateway\tversion\tconfirmed\tsince\ttries reported\trequest kinds\n")
+				fmt.Fprintf(t, "\ngateway\tversion\tconfirmed\tsince\ttries reported\tlink\trequest kinds\n")
 				for _, h := range x.Holds {
 					var kinds []string
 					for i, k := range h.Kinds {
 						kinds = append(kinds, fmt.Sprintf("%s %.1f%%", k, 100*h.Weights[i]))
 					}
-					fmt.Fprintf(t, "%s\t%s\t%t\t%s\t%d\t%s\n", h.Gateway, h.Version, h.Confirmed, clock(h.Since), h.Tries, strings.Join(kinds, ", "))
+					link := "stands"
+					if h.Away {
+						link = "ended"
+					}
+					fmt.Fprintf(t, "%s\t%s\t%t\t%s\t%d\t%s\t%s\n", h.Gateway, h.Version, h.Confirmed, clock(h.Since), h.Tries, link, strings.Join(kinds, ", "))
 				}
 			}
 			return t.Flush()
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,6 +8,7 @@
 
 	"porthub/choice"
 	"porthub/control"
+	"porthub/membership"
 	"porthub/recovery"
 	"porthub/tables"
 )
@@ -19,12 +20,13 @@
 // Settings are what a core is handed at its start.
 type Settings struct {
 	Up          control.Up
-	Epoch       string // names this start; versions of two starts never look alike
-	SilentAfter micros // without a word for so long a gateway counts as away
-	AllowEmpty  bool   // an empty list after one that was not is believed
-	Solver      bool   // tables that break limits give way to the solver's
-	Build       string // names the build, for snapshots and captures
-	Sync        bool   // documents are synced while the disk is quick enough for it
+	Epoch       string   // names this start; versions of two starts never look alike
+	SilentAfter micros   // without a word for so long a gateway counts as away
+	AllowEmpty  bool     // an empty list after one that was not is believed
+	Solver      bool     // tables that break limits give way to the solver's
+	Sources     []string // registries beside the file, the most trusted first
+	Build       string   // names the build, for snapshots and captures
+	Sync        bool     // documents are synced while the disk is quick enough for it
 }
 
 // Core is one coordinator's state. Its zero value does not work: use New.
@@ -39,7 +41,9 @@
 	outputs []Output
 
 	list     roster
-	relisted bool // the list has changed: documents are checked against it whether the module reaches them or not
+	members  *membership.Membership
+	settled  micros // when membership was asked last
+	relisted bool   // the list has changed: documents are checked against it whether the module reaches them or not
 	gateways map[Gateway]*gateway
 	byProxy  map[control.Proxy]*gateway
 	kinds    map[string]control.ReqKind
@@ -82,6 +86,8 @@
 	c.sums.reset()
 	c.made = map[madeKey]made{}
 	c.book = tables.NewBook(keepVersions, keepFor)
+	c.members = membership.New(membership.Settings{Zones: set.Up.Zones, Binding: map[string]bool{FileSource: true},
+		Sources: append([]string{FileSource}, set.Sources...)})
 	if set.Solver {
 		c.solving = newSolving(len(set.Up.Kinds))
 	}
@@ -106,6 +112,7 @@
 		c.released = true
 		c.release()
 	}
+	events = append(events, c.settle(false)...)
 	events = append(events, c.watchGateways()...)
 	for {
 		due := c.due()
@@ -176,6 +183,9 @@
 	switch in := in.(type) {
 	case List:
 		return c.listed(in)
+	case Told:
+		c.members.Take(c.now, in.Answer)
+		return c.settle(true)
 	case Join:
 		return c.join(in)
 	case Leave:
--- a/coordinator/io.go
+++ b/coordinator/io.go
@@ -2,6 +2,7 @@
 
 import (
 	"porthub/control"
+	"porthub/membership"
 	"porthub/tables"
 )
 
@@ -19,7 +20,11 @@
 	List struct {
 		control.List
 		Why string
+
+		decided bool // by membership
 	}
+	// Told is a registry's answer, or its failure.
+	Told struct{ membership.Answer }
 	// Join says that a gateway has opened a connection and named itself.
 	Join struct {
 		Gateway  Gateway
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -13,6 +13,8 @@
 	firstSeen map[control.Backend]micros
 	has       bool // a list has come
 	version   control.Version
+	// fileVersion is of the file's last list.
+	fileVersion control.Version
 }
 
 func (r *roster) zone(b control.Backend) (control.Zone, bool) {
@@ -47,15 +49,13 @@
 		c.complain("list_empty", "", "it names nobody, the last one %d: not believed", was)
 		return []control.Event{control.List{Version: in.Version, How: control.ListFailed}}
 	}
+	if in.How == control.ListFull && !in.decided {
+		return c.file(in)
+	}
 	seen := map[control.Backend]bool{}
 	var entries []control.Entry
 	for _, e := range in.Entries {
-		if seen[e.Backend] {
-			c.complain("list_twice", "", "%s stands twice: the first one counts", e.Backend)
-			continue
-		}
-		if !slices.Contains(c.set.Up.Zones, e.Zone) {
-			c.complain("list_zone", "", "%s is in zone %q, which is not one of %v: left out", e.Backend, e.Zone, c.set.Up.Zones)
+		if seen[e.Backend] || !slices.Contains(c.set.Up.Zones, e.Zone) {
 			continue
 		}
 		seen[e.Backend] = true
--- /dev/null
+++ b/coordinator/members.go
@@ -0,0 +1,84 @@
+package coordinator
+
+import (
+	"slices"
+
+	"porthub/control"
+	"porthub/membership"
+)
+
+// Package membership decides who belongs to the fleet; here is only what it is told and what becomes of its word.
+
+// FileSource is the name of the node list's file among the sources. It binds: whoever writes it means it.
+const FileSource = "file"
+
+// file hands a list of the file to membership.
+func (c *Core) file(in List) []control.Event {
+	a := membership.Answer{Source: FileSource}
+	seen := map[control.Backend]bool{}
+	for _, e := range in.Entries {
+		if seen[e.Backend] {
+			c.complain("list_twice", "", "%s stands twice: the first one counts", e.Backend)
+			continue
+		}
+		if !slices.Contains(c.set.Up.Zones, e.Zone) {
+			c.complain("list_zone", "", "%s is in zone %q, which is not one of %v: left out", e.Backend, e.Zone, c.set.Up.Zones)
+			continue
+		}
+		seen[e.Backend] = true
+		claim := membership.Claim{Node: e.Backend, Zone: e.Zone, Weight: e.Weight, Pod: e.Pod, Machine: e.Machine, Launched: e.Launched}
+		switch e.Status {
+		case control.Draining:
+			claim.Status = membership.OutOfService
+		case control.Gone:
+			continue
+		}
+		a.Claims = append(a.Claims, claim)
+	}
+	c.list.fileVersion = in.Version
+	c.members.Take(c.now, a)
+	return c.settle(true)
+}
+
+// settleEvery is how often membership is asked though no source has said anything: holds end, nodes are let in again.
+const settleEvery = second / 4
+
+// settle asks membership and takes its list. A source that answered is a list to the module even if nothing has changed,
+// since it may have asked for one.
+func (c *Core) settle(answered bool) []control.Event {
+	if !answered && c.now-c.settled < settleEvery {
+		return nil
+	}
+	c.settled = c.now
+	entries, changed, notes := c.members.Step(c.now)
+	for _, line := range notes {
+		c.out(Note{Level: Info, Event: "membership", Text: line})
+	}
+	if !changed && !answered || !c.members.Answered() {
+		return nil
+	}
+	return c.listed(List{List: control.List{Version: max(c.list.fileVersion, c.members.Version()), How: control.ListFull, Entries: entries}, decided: true})
+}
+
+// DrainNode takes a node out at an operator's word, until UndrainNode takes it back; it survives restarts.
+func (c *Core) DrainNode(b control.Backend, reason string) error {
+	if err := c.members.Drain(c.now, b, reason); err != nil {
+		return err
+	}
+	c.later = append(c.later, Note{Level: Warn, Event: "drained", Backend: b, Text: "an operator drains it: " + reason})
+	c.settled = 0
+	return nil
+}
+
+// UndrainNode takes an operator's drain back.
+func (c *Core) UndrainNode(b control.Backend, reason string) error {
+	if err := c.members.Undrain(c.now, b); err != nil {
+		return err
+	}
+	c.later = append(c.later, Note{Level: Warn, Event: "undrained", Backend: b, Text: "an operator lets it in again: " + reason})
+	c.settled = 0
+	return nil
+}
+
+// Members tells what was decided of every node and why.
+func (c *Core) Members() []membership.Verdict { return c.members.Verdicts() }
--- a/coordinator/recall.go
+++ b/coordinator/recall.go
@@ -14,7 +14,7 @@
 // Remember is what a next start has to know. It shares what does not change with the core.
 func (c *Core) Remember() recovery.Snapshot {
 	s := recovery.Snapshot{Format: recovery.Format, Build: c.set.Build, Epoch: c.set.Epoch, At: c.now, Steps: c.steps, Version: c.list.version,
-		Nodes: c.present(), Pins: c.book.Keep(), Kinds: c.kindNames(), Zones: slices.Clone(c.set.Up.Zones)}
+		Nodes: c.present(), Pins: c.book.Keep(), Drains: c.members.Drains(), Kinds: c.kindNames(), Zones: slices.Clone(c.set.Up.Zones)}
 	if c.solving != nil {
 		s.Speeds, s.Costs = c.solving.estimate.Keep()
 		s.Marks = c.solving.judge.Marks()
@@ -54,6 +54,7 @@
 		}
 	}
 	c.book.Recall(now, b.Pins)
+	c.members.Recall(now, b.Drains, b.Nodes)
 	c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: b.String()})
 	for _, why := range b.Why {
 		c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: why})
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -85,6 +85,7 @@
 			if _, known := c.list.entries[e.Backend]; !known || e.Tries == 0 {
 				continue // its standing table may name what we were never told of
 			}
+			c.members.Served(c.now, e.Backend, e.Tries-e.Errored, e.Errored)
 			if c.solving != nil {
 				c.solving.hear(g.zone, kind, e, r.Interval)
 			}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -273,7 +273,12 @@
 		if !(c.Weight > 0) {
 			c.Weight = 1
 		}
-		c.Launched = min(c.Launched, m.now) // another machine's clock keeps nobody cold for ever
+		if c.Launched > m.now { // another machine's clock keeps nobody cold for ever
+			c.Launched = m.now
+			if n := m.nodes[c.Node]; n != nil && (up(n.state) || n.state == Draining) && n.launched > 0 {
+				c.Launched = n.launched
+			}
+		}
 		if old, twice := out[c.Node]; twice {
 			newer := cmp.Or(cmp.Compare(c.Launched, old.Launched), cmp.Compare(c.Changed, old.Changed), cmp.Compare(c.Instance, old.Instance)) > 0
 			m.note("%s: %s and %s claim %s: the later one counts", a.Source, old.Instance, c.Instance, c.Node)
@@ -395,6 +400,12 @@
 	return list, changed, notes
 }
 
+// Answered tells whether any source has ever answered.
+func (m *Membership) Answered() bool { return m.answered() }
+
+// Version counts the lists that differed from the one before.
+func (m *Membership) Version() control.Version { return m.version }
+
 // answered tells whether any source has ever answered.
 func (m *Membership) answered() bool {
 	for _, s := range m.sources {
@@ -412,8 +423,8 @@
 		n.entry = m.entryOf(n)
 	}
 	was := n.state
-	if up(was) && !up(state) && state != Draining {
-		m.flapped(n)
+	if up(was) && !up(state) && state != Draining && !m.bound(n) {
+		m.flapped(n) // whoever writes a file means it
 	}
 	if state == Ready && m.now < n.outUntil {
 		state, why = Waiting, fmt.Sprintf("it has gone down %.1f times of late: kept out until %d us", n.flaps, n.outUntil)
@@ -536,8 +547,8 @@
 		n.launched = m.now // another process under its address that tells no start
 	case launched > n.launched:
 		n.launched = launched
-	case n.launched == 0 && launched == 0 && m.listed && !up(n.state) && n.state != Draining:
-		n.launched = m.now // new since the first list
+	case launched == 0 && m.listed && (n.state == Gone || n.state == Waiting && n.launched == 0):
+		n.launched = m.now // new since the first list, or back: nobody says that it ran meanwhile
 	}
 	n.instance = instance
 	e.Launched = n.launched
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -33,8 +33,9 @@
 	Marks    []solver.Mark                    `cbor:"marks,omitempty"`
 	Gateways []Gateway                        `cbor:"gateways,omitempty"`
 	Pins     []tables.Kept                    `cbor:"pins,omitempty"`
-	Kinds    []string                         `cbor:"kinds"` // what positions stand for
-	Zones    []control.Zone                   `cbor:"zones"` // tables are numbered by them
+	Drains   map[control.Backend]string       `cbor:"drains,omitempty"` // by operators, with their reasons
+	Kinds    []string                         `cbor:"kinds"`            // what positions stand for
+	Zones    []control.Zone                   `cbor:"zones"`            // tables are numbered by them
 }
 
 // Gateway is what was known of one.
@@ -63,6 +64,7 @@
 	Marks    []solver.Mark
 	Gateways map[string]Gateway
 	Pins     []tables.Kept
+	Drains   map[control.Backend]string
 	// Until: gateways keep the weights that they hold, as far as the rules let them, so long, or until enough of them have
 	// reported, or until a fresh list has another fleet. Levels are not kept: one that was held while nodes came back
 	// turned away a tenth of all reqs for want of a reason.
@@ -88,7 +90,7 @@
 // Believe decides what of a snapshot counts at a start. A clock that has gone back says nothing about how old things are:
 // then only what does not age is believed.
 func Believe(s Snapshot, now control.Micros, kinds []string, zones []control.Zone) Belief {
-	b := Belief{From: s.Epoch, At: s.At, Version: s.Version}
+	b := Belief{From: s.Epoch, At: s.At, Version: s.Version, Drains: s.Drains}
 	not := func(format string, args ...any) { b.Why = append(b.Why, fmt.Sprintf(format, args...)) }
 	// The list stands until a fresh one comes: who drains stays drained, who had started stays as warm as it was. A start
 	// that lies ahead is now, so that another clock keeps nobody warm.
