Eureka's registry API as a source, porthub nodes, drain and undrain

Need: other installations register calc nodes in Eureka, and staff must see what every source says.

Change: registry/eureka (JSON and XML, deltas reconciled by hash, peers with failover, back-off, limits, own entry) feeds membership; registry.eureka in the configuration, beside or in place of the file. porthub nodes, drain and undrain; drains survive restarts.

Result: golden bodies in both encodings, every fault of the stand-in registry (refuses, cut off, huge, slow, wrong hash, stale delta) caused: what was known stays, and the next right answer is taken.

--- a/config/config.go
+++ b/config/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -70,7 +71,39 @@
 
 // Registry is where the node list comes from.
 type Registry struct {
-	File FileRegistry `json:"file"`
+	File   FileRegistry     `json:"file"`   // its word binds; without a path there is none
+	Eureka []EurekaRegistry `json:"eureka"` // side by side; the first is trusted most
+}
+
+// EurekaRegistry is a registry with Eureka's REST operations.
+type EurekaRegistry struct {
+	Name      string   `json:"name"`      // of the source, in logs and porthub nodes
+	Addresses []string `json:"addresses"` // base URLs of its peers, such as http://127.0.0.1:8761/eureka
+	App       string   `json:"app"`       // one application; empty: all, or vip
+	VIP       string   `json:"vip"`
+	Deltas    bool     `json:"deltas"` // ask for deltas, reconciled by the registry's hash
+	XML       bool     `json:"xml"`
+	Poll      Duration `json:"poll"`    // 0: 5 s
+	Timeout   Duration `json:"timeout"` // of a request; 0: 2 s
+	Most      int      `json:"most"`    // bytes of an answer; 0: 32 MiB
+	// Metadata that holds what the list needs; empty: zone, weight, pod, machine.
+	ZoneField    string   `json:"zone_field"`
+	WeightField  string   `json:"weight_field"`
+	PodField     string   `json:"pod_field"`
+	MachineField string   `json:"machine_field"`
+	Zone         string   `json:"zone"`  // of instances that name none
+	Hosts        bool     `json:"hosts"` // nodes go by hostName, not ipAddr
+	Register     Register `json:"register"`
+}
+
+// Register is the coordinator's own entry in a registry.
+type Register struct {
+	App   string   `json:"app"` // empty: it does not register
+	ID    string   `json:"id"`
+	Host  string   `json:"host"`
+	IP    string   `json:"ip"`
+	Port  int      `json:"port"`
+	Renew Duration `json:"renew"` // 0: 30 s
 }
 
 // FileRegistry is a file_sd list.
@@ -264,7 +297,24 @@
 			"there is no authentication yet: it must be 127.0.0.1 or ::1")
 	}
 	need(c.Front.Files.Dir != "", "front.files.dir", "is missing", "name the folder that gateways read")
-	need(c.Registry.File.Path != "", "registry.file.path", "is missing", "name the node list")
+	need(c.Registry.File.Path != "" || len(c.Registry.Eureka) > 0, "registry.file.path", "is missing", "name the node list, or a registry in registry.eureka")
+	for i, e := range c.Registry.Eureka {
+		key := func(k string) string { return fmt.Sprintf("registry.eureka[%d].%s", i, k) }
+		same := slices.ContainsFunc(c.Registry.Eureka[:i], func(o EurekaRegistry) bool { return o.Name == e.Name })
+		need(e.Name != "" && e.Name != "file" && e.Name != "operator" && e.Name != "gateways" && !same, key("name"), fmt.Sprintf("is %q", e.Name),
+			"give each registry a name of its own; file, operator and gateways are taken")
+		need(len(e.Addresses) > 0, key("addresses"), "is empty", "name its base URLs")
+		for j, a := range e.Addresses {
+			u, err := url.Parse(a)
+			need(err == nil && u.Scheme == "http" && u.Host != "" && !strings.HasSuffix(a, "/"), key(fmt.Sprintf("addresses[%d]", j)),
+				fmt.Sprintf("%q is no base URL", a), "such as http://127.0.0.1:8761/eureka, without a slash at its end")
+		}
+		need(e.App == "" || e.VIP == "", key("vip"), "stands beside app", "name one of them")
+		need(!e.Deltas || e.App == "" && e.VIP == "", key("deltas"), "stands beside app or vip", "there are deltas of all applications only")
+		need(e.Zone == "" || slices.Contains(c.Zones, e.Zone), key("zone"), fmt.Sprintf("%q is not one of zones", e.Zone), "name one of them")
+		r := e.Register
+		need(r.App == "" || r.ID != "" && r.IP != "" && r.Port > 0 && r.Port < 65536, key("register"), "lacks id, ip or port", "an entry needs them")
+	}
 	need(len(c.Zones) > 0, "zones", "is empty", "name at least one zone")
 	for i, z := range c.Zones {
 		need(!slices.Contains(c.Zones[:i], z), fmt.Sprintf("zones[%d]", i), fmt.Sprintf("%q stands twice", z), "name each zone once")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -20,6 +21,8 @@
 	"porthub/coordinator"
 	"porthub/front/files"
 	"porthub/front/poll"
+	"porthub/membership"
+	"porthub/registry/eureka"
 	"porthub/registry/file"
 )
 
@@ -43,7 +46,8 @@
 	inbox  chan event
 	front  *files.Front
 	hub    *poll.Hub
-	source *file.Source
+	source *file.Source // nil: there is no file
+	eureka []*eureka.Client
 	probes *prober
 	server *server
 	saves  chan any // lists
@@ -122,7 +126,11 @@
 		}
 	}
 	now := d.clock.Now()
-	d.set = coordinator.Settings{Build: Build(), Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
+	var names []string
+	for _, e := range o.Config.Registry.Eureka {
+		names = append(names, e.Name)
+	}
+	d.set = coordinator.Settings{Build: Build(), Sources: names, Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
 		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled,
 		Sync: o.Config.Front.Files.Sync}
 	d.core = coordinator.New(d.set)
@@ -142,15 +150,20 @@
 	d.front = front
 	d.hub = poll.NewHub(o.Config.Front.Poll.Most, o.Config.Front.Poll.Keep)
 	version := control.Version(0)
-	d.source = file.New(o.Config.Registry.File.Path, time.Duration(o.Config.Registry.File.Poll)*time.Microsecond,
-		func(entries []control.Entry, err error) {
-			version++
-			list := coordinator.List{List: control.List{Version: version, How: control.ListFull, Entries: entries}}
-			if err != nil {
-				list.How, list.Why = control.ListFailed, err.Error()
-			}
-			d.give(list)
-		})
+	if o.Config.Registry.File.Path != "" {
+		d.source = file.New(o.Config.Registry.File.Path, time.Duration(o.Config.Registry.File.Poll)*time.Microsecond,
+			func(entries []control.Entry, err error) {
+				version++
+				list := coordinator.List{List: control.List{Version: version, How: control.ListFull, Entries: entries}}
+				if err != nil {
+					list.How, list.Why = control.ListFailed, err.Error()
+				}
+				d.give(list)
+			})
+	}
+	for _, e := range o.Config.Registry.Eureka {
+		d.eureka = append(d.eureka, eureka.New(eurekaOptions(e), func(a membership.Answer) { d.give(coordinator.Told{Answer: a}) }))
+	}
 	d.probes = newProber(o.Config.Probes, func(p control.Probed) { d.give(coordinator.Probed{Probed: p}) })
 	if d.server, err = listen(d, o.Config.Listen); err != nil {
 		front.Close()
@@ -183,7 +196,16 @@
 func (d *Daemon) Run(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go d.source.Run(ctx)
+	var sources sync.WaitGroup
+	defer sources.Wait() // a registry's entry is taken out at the end
+	defer cancel()
+	if d.source != nil {
+		go d.source.Run(ctx)
+	}
+	for _, e := range d.eureka {
+		sources.Add(1)
+		go func() { defer sources.Done(); e.Run(ctx) }()
+	}
 	go d.keep(ctx)
 	defer d.close()
 	var inputs []coordinator.Input
@@ -268,9 +290,16 @@
 		case coordinator.Probe:
 			d.probes.probe(o.Backend)
 		case coordinator.Watch:
-			d.source.Watch(o.On)
+			if d.source != nil {
+				d.source.Watch(o.On)
+			}
 		case coordinator.Fetch:
-			d.source.Fetch()
+			if d.source != nil {
+				d.source.Fetch()
+			}
+			for _, e := range d.eureka {
+				e.Fetch()
+			}
 		case coordinator.Save:
 			d.save(o.List)
 			urgent = true
--- /dev/null
+++ b/daemon/nodes.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"porthub/capture"
+	"porthub/config"
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/membership"
+	"porthub/registry/eureka"
+)
+
+// Nodes is what GET /nodes answers.
+type Nodes struct {
+	Now        control.Micros          `json:"now_us"`
+	Nodes      []membership.Verdict    `json:"nodes"`
+	Registries map[string]eureka.Stats `json:"registries,omitempty"`
+}
+
+// NodeRequest is the body of POST /nodes/drain and /nodes/undrain.
+type NodeRequest struct {
+	Node   control.Backend `json:"node"`
+	Reason string          `json:"reason"`
+}
+
+// NodeAnswer answers it.
+type NodeAnswer struct {
+	Error string `json:"error,omitempty"`
+}
+
+// nodeOperation reads an operator's request about nodes; what it returns runs in the loop that owns the core.
+func (d *Daemon) nodeOperation(req *http.Request, read func(any) error) (func(*coordinator.Core) []byte, int, error) {
+	if req.Method+" "+req.URL.Path == "GET /nodes" {
+		return func(c *coordinator.Core) []byte {
+			n := Nodes{Now: c.Status().Now, Nodes: c.Members()}
+			for i, e := range d.eureka {
+				if n.Registries == nil {
+					n.Registries = map[string]eureka.Stats{}
+				}
+				n.Registries[d.cfg.Registry.Eureka[i].Name] = e.Stats()
+			}
+			return text(n)
+		}, 0, nil
+	}
+	var r NodeRequest
+	if err := read(&r); err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	return func(c *coordinator.Core) []byte {
+		var err error
+		var record capture.Command
+		if req.URL.Path == "/nodes/drain" {
+			err, record = c.DrainNode(r.Node, r.Reason), capture.Command{Drain: r.Node, Reason: r.Reason}
+		} else {
+			err, record = c.UndrainNode(r.Node, r.Reason), capture.Command{Undrain: r.Node, Reason: r.Reason}
+		}
+		if err != nil {
+			return text(NodeAnswer{err.Error()})
+		}
+		d.capture(&capture.Record{Command: &record})
+		d.remember(c.Status().Now, true) // it survives a crash from here on
+		return text(NodeAnswer{})
+	}, 0, nil
+}
+
+func eurekaOptions(e config.EurekaRegistry) eureka.Options {
+	us := func(d config.Duration) time.Duration { return time.Duration(d) * time.Microsecond }
+	or := func(a, b string) string {
+		if a != "" {
+			return a
+		}
+		return b
+	}
+	o := eureka.Options{Name: e.Name, Addresses: e.Addresses, App: e.App, VIP: e.VIP, Deltas: e.Deltas, XML: e.XML, Poll: us(e.Poll), Timeout: us(e.Timeout),
+		Most: int64(e.Most), Zone: e.Zone, Hosts: e.Hosts, Fields: map[string]string{"zone": or(e.ZoneField, "zone"), "weight": or(e.WeightField, "weight"),
+			"pod": or(e.PodField, "pod"), "machine": or(e.MachineField, "machine")}}
+	if r := e.Register; r.App != "" {
+		o.Self = &eureka.Self{App: r.App, ID: r.ID, Host: or(r.Host, r.IP), IP: r.IP, Port: r.Port, Renew: us(r.Renew)}
+	}
+	return o
+}
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -64,6 +64,8 @@
 		return dec.Decode(into)
 	}
 	switch req.Method + " " + req.URL.Path {
+	case "GET /nodes", "POST /nodes/drain", "POST /nodes/undrain":
+		return d.nodeOperation(req, read)
 	case "GET /tables/versions":
 		return func(c *coordinator.Core) []byte { return text(versions(c)) }, 0, nil
 	case "POST /tables/pin":
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -298,7 +298,7 @@
 		if !s.d.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
-	case strings.HasPrefix(req.URL.Path, "/tables/"):
+	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", strings.HasPrefix(req.URL.Path, "/nodes/"):
 		operate, code, err := s.d.operation(req, body)
 		if err != nil {
 			fail(code, err.Error())
--- /dev/null
+++ b/registry/eureka/eureka_test.go
@@ -0,0 +1,276 @@
+package eureka_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"porthub/membership"
+	"porthub/registry/eureka"
+	standin "porthub/standin/eureka"
+)
+
+// Bodies written by us from the published operations: both encodings, a list of one as an object, numbers as strings.
+const (
+	wholeJSON = `{"applications": {"versions__delta": "7", "apps__hashcode": "DOWN_1_UP_1_", "application": [
+		{"name": "CALC", "instance": [
+			{"instanceId": "c-1", "hostName": "h1", "app": "CALC", "ipAddr": "127.0.0.1", "status": "UP", "overriddenStatus": "UNKNOWN",
+			 "port": {"$": 9001, "@enabled": "true"}, "securePort": {"$": 443, "@enabled": "false"}, "countryId": 1,
+			 "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+			 "leaseInfo": {"renewalIntervalInSecs": 30, "durationInSecs": 90, "registrationTimestamp": 1700000000000,
+			  "lastRenewalTimestamp": 1700000090000, "evictionTimestamp": 0, "serviceUpTimestamp": 1700000001000},
+			 "metadata": {"zone": "a", "weight": "2", "pod": 3, "@class": "java.util.Collections$EmptyMap"}, "vipAddress": "calc",
+			 "lastUpdatedTimestamp": "1700000002000", "lastDirtyTimestamp": "1700000000500", "actionType": "ADDED"},
+			{"instanceId": "c-2", "hostName": "h2", "app": "CALC", "ipAddr": "127.0.0.2", "status": "DOWN", "overriddenstatus": "OUT_OF_SERVICE",
+			 "port": {"$": "9002", "@enabled": "true"}, "metadata": {"zone": "b"}, "lastDirtyTimestamp": 1700000000600}]}]}}`
+	wholeXML = `<?xml version="1.0"?><applications><versions__delta>7</versions__delta><apps__hashcode>DOWN_1_UP_1_</apps__hashcode><application>
+		<name>CALC</name><instance><instanceId>c-1</instanceId><hostName>h1</hostName><app>CALC</app><ipAddr>127.0.0.1</ipAddr><status>UP</status>
+		<overriddenstatus>UNKNOWN</overriddenstatus><port enabled="true">9001</port><securePort enabled="false">443</securePort>
+		<leaseInfo><durationInSecs>90</durationInSecs><lastRenewalTimestamp>1700000090000</lastRenewalTimestamp><serviceUpTimestamp>1700000001000</serviceUpTimestamp></leaseInfo>
+		<metadata><zone>a</zone><weight>2</weight><pod>3</pod></metadata><lastDirtyTimestamp>1700000000500</lastDirtyTimestamp></instance>
+		<instance><instanceId>c-2</instanceId><hostName>h2</hostName><app>CALC</app><ipAddr>127.0.0.2</ipAddr><status>DOWN</status>
+		<overriddenstatus>OUT_OF_SERVICE</overriddenstatus><port enabled="true">9002</port><metadata><zone>b</zone></metadata><lastDirtyTimestamp>1700000000600</lastDirtyTimestamp></instance></application></applications>`
+)
+
+var fields = map[string]string{"zone": "zone", "weight": "weight", "pod": "pod", "machine": "machine"}
+
+func TestGoldenBodies(t *testing.T) {
+	o := eureka.Options{Fields: fields}
+	want := []membership.Claim{
+		{Node: "127.0.0.1:9001", Instance: "c-1", Zone: "a", Weight: 2, Pod: 3, Status: membership.Up, Launched: 1700000001000_000, Changed: 1700000000500_000,
+			Renewed: 1700000090000_000, Lease: 90_000_000},
+		{Node: "127.0.0.2:9002", Instance: "c-2", Zone: "b", Weight: 1, Status: membership.OutOfService, Changed: 1700000000600_000}}
+	for name, body := range map[string]string{"JSON": wholeJSON, "XML": wholeXML} {
+		a, err := eureka.Parse([]byte(body))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got := o.Claims(a.Instances); !slices.Equal(got, want) {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if h := eureka.HashOf(a.Instances); h != a.Hash {
+			t.Errorf("%s: hash %s, says %s", name, h, a.Hash)
+		}
+	}
+	for name, body := range map[string]string{
+		"one application":   `{"application": {"name": "calc", "instance": {"instanceId": "x", "ipAddr": "127.0.0.1", "port": {"$": 1}, "status": "UP"}}}`,
+		"an object for one": `{"applications": {"application": {"name": "CALC", "instance": {"instanceId": "x", "status": "UP"}}}}`,
+		"XML of one":        `<application><name>CALC</name><instance><instanceId>x</instanceId><status>UP</status></instance></application>`,
+	} {
+		if a, err := eureka.Parse([]byte(body)); err != nil || len(a.Instances) != 1 || a.Instances[0].App != "CALC" {
+			t.Errorf("%s: %+v, %v", name, a, err)
+		}
+	}
+	for name, body := range map[string]string{"empty": "", "cut off": wholeJSON[:len(wholeJSON)/2], "XML cut off": wholeXML[:len(wholeXML)/2], "a page": "<html></html>",
+		"another object": `{"error": "no"}`, "text": "sorry", "nobody": `{"applications": {"application": [{"name": "A", "instance": [{"status": "UP"}]}]}}`} {
+		if _, err := eureka.Parse([]byte(body)); !errors.Is(err, eureka.ErrBody) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if a, err := eureka.Parse([]byte(`{"applications": {"versions__delta": "1", "apps__hashcode": "", "application": []}}`)); err != nil || len(a.Instances) != 0 {
+		t.Errorf("an empty registry: %v, %v", a, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{wholeJSON, wholeXML, `{"applications":{"application":{"instance":""}}}`, `<applications><application/></applications>`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := eureka.Parse(body)
+		if err != nil && !errors.Is(err, eureka.ErrBody) {
+			t.Errorf("%v", err)
+		}
+		for _, c := range (eureka.Options{Fields: fields}).Claims(a.Instances) {
+			if c.Node == "" || !(c.Weight > 0) || c.Launched < 0 {
+				t.Errorf("%+v", c)
+			}
+		}
+	})
+}
+
+// site is a registry with peers, and a client that follows it.
+type site struct {
+	t     *testing.T
+	reg   *standin.Registry
+	peers []*standin.Peer
+	c     *eureka.Client
+
+	mu      sync.Mutex
+	last    membership.Answer
+	answers int
+	failed  []string
+}
+
+func newSite(t *testing.T, peers int, change func(*eureka.Options)) *site {
+	t.Helper()
+	s := &site{t: t, reg: standin.New()}
+	o := eureka.Options{Name: "eureka", Fields: fields, Poll: 20 * time.Millisecond, Timeout: 300 * time.Millisecond, Deltas: true, Most: 1 << 20}
+	for range peers {
+		p, err := s.reg.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		s.peers = append(s.peers, p)
+		o.Addresses = append(o.Addresses, p.Addr)
+	}
+	if change != nil {
+		change(&o)
+	}
+	s.c = eureka.New(o, func(a membership.Answer) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if a.Failed != "" {
+			s.failed = append(s.failed, a.Failed)
+			return
+		}
+		s.last = a
+		s.answers++
+	})
+	return s
+}
+
+func (s *site) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.c.Run(ctx) }()
+	s.t.Cleanup(func() { cancel(); <-done })
+}
+
+func (s *site) put(n int, status string) {
+	s.reg.Put(standin.Inst{App: "CALC", ID: fmt.Sprint("c-", n), IP: "127.0.0.1", Port: 9000 + n, Status: status, Metadata: map[string]string{"zone": "a", "vip": "calc"}})
+}
+
+func (s *site) has(want string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var got []string
+	for _, c := range s.last.Claims {
+		got = append(got, fmt.Sprintf("%s %s", c.Instance, c.Status))
+	}
+	return s.answers > 0 && strings.Join(got, ", ") == want
+}
+
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(3 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.t.Fatalf("not within 8 s: %s; %+v, %v, %+v", what, s.last, s.failed, s.c.Stats())
+		}
+	}
+}
+
+// Whole, then by deltas; one that was lost or is stale shows in the hash, and the whole is asked for.
+func TestDeltas(t *testing.T) {
+	s := newSite(t, 1, nil)
+	s.put(1, "UP")
+	s.put(2, "STARTING")
+	s.run()
+	s.until("the first", func() bool { return s.has("c-1 up, c-2 starting") })
+	whole := s.c.Stats().Whole
+	s.put(2, "UP")
+	s.put(3, "UP")
+	s.reg.Remove("CALC", "c-1")
+	s.until("changes", func() bool { return s.has("c-2 up, c-3 up") })
+	if st := s.c.Stats(); st.Whole != whole || st.Deltas == 0 || st.Mismatch != 0 {
+		t.Errorf("deltas suffice: %+v", st)
+	}
+	s.peers[0].Fault(standin.Faults{StaleDelta: true})
+	s.put(3, "OUT_OF_SERVICE")
+	s.until("a change that the deltas lack", func() bool { return s.has("c-2 up, c-3 out of service") })
+	if st := s.c.Stats(); st.Mismatch == 0 {
+		t.Errorf("%+v", st)
+	}
+}
+
+// Each fault: what was known stays, the failure is told, and the next right answer is taken.
+func TestFaults(t *testing.T) {
+	for name, f := range map[string]standin.Faults{"refuses": {Refuse: 503}, "truncated": {Truncated: true}, "huge": {Huge: 2 << 20}, "slow": {Slow: 5 * time.Second},
+		"wrong hash": {WrongHash: true}} {
+		s := newSite(t, 1, nil)
+		s.put(1, "UP")
+		s.run()
+		s.until("the first", func() bool { return s.has("c-1 up") })
+		s.peers[0].Fault(f)
+		s.until(name+": told", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.failed) > 0 })
+		s.put(2, "UP")
+		if !s.has("c-1 up") {
+			t.Errorf("%s: what was known is lost", name)
+		}
+		s.peers[0].Fault(standin.Faults{})
+		s.until(name+": over", func() bool { return s.has("c-1 up, c-2 up") })
+	}
+}
+
+// A peer that fails is left for the next one, without a word of failure; down from the start is told, and asked less and
+// less often.
+func TestFailover(t *testing.T) {
+	s := newSite(t, 2, nil)
+	s.put(1, "UP")
+	s.peers[0].Fault(standin.Faults{Refuse: 500})
+	s.run()
+	s.until("by the second peer", func() bool { return s.has("c-1 up") })
+	s.peers[0].Fault(standin.Faults{})
+	s.peers[1].Close()
+	s.put(2, "UP")
+	s.until("by the first again", func() bool { return s.has("c-1 up, c-2 up") })
+	if len(s.failed) > 0 {
+		t.Errorf("a failure is told though a peer answers: %v", s.failed)
+	}
+	down := newSite(t, 1, func(o *eureka.Options) { o.Poll = 40 * time.Millisecond })
+	down.peers[0].Fault(standin.Faults{Refuse: 503})
+	down.run()
+	time.Sleep(1200 * time.Millisecond)
+	if n := down.c.Stats().Calls; n < 3 || n > 15 {
+		t.Errorf("asked %d times in 1.2 s with a poll of 40 ms", n)
+	}
+	down.put(1, "UP")
+	down.peers[0].Fault(standin.Faults{})
+	down.until("up at last", func() bool { return down.has("c-1 up") })
+}
+
+// One application, a vip address and XML say the same; an answer that is the same to the letter is not read again.
+func TestQueries(t *testing.T) {
+	for name, change := range map[string]func(*eureka.Options){"app": func(o *eureka.Options) { o.App, o.Deltas = "calc", false },
+		"vip": func(o *eureka.Options) { o.VIP, o.Deltas = "calc", false }, "xml": func(o *eureka.Options) { o.XML, o.Deltas = true, false }} {
+		s := newSite(t, 1, change)
+		s.put(1, "UP")
+		if name != "xml" {
+			s.reg.Put(standin.Inst{App: "OTHER", ID: "o-1", IP: "127.0.0.1", Port: 8000, Status: "UP"})
+		}
+		s.run()
+		s.until(name, func() bool { return s.has("c-1 up") })
+		s.until(name+" unchanged", func() bool { return s.c.Stats().Unchanged > 2 })
+		s.reg.Remove("CALC", "c-1")
+		s.until(name+" empty", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.last.Claims) == 0 && s.answers > 0 })
+	}
+}
+
+// Our own entry is registered, renewed, registered anew where the registry has lost it, and taken out at the end; it is no
+// calc node.
+func TestSelf(t *testing.T) {
+	s := newSite(t, 1, func(o *eureka.Options) {
+		o.Zone = "a"
+		o.Self = &eureka.Self{App: "porthub", ID: "p-1", Host: "h", IP: "127.0.0.1", Port: 7070, Renew: 30 * time.Millisecond}
+	})
+	s.put(1, "UP")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.c.Run(ctx) }()
+	s.until("registered", func() bool { return s.reg.Has("PORTHUB", "p-1") && s.has("c-1 up") })
+	s.reg.Remove("PORTHUB", "p-1")
+	s.until("registered anew", func() bool { return s.reg.Has("PORTHUB", "p-1") })
+	cancel()
+	<-done
+	if s.reg.Has("PORTHUB", "p-1") {
+		t.Error("it stays registered")
+	}
+}
