--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -25,6 +25,7 @@
 		baselines    bool
 		noSolver     bool
 		forgets      bool
+		source       string
 		held, nodes  int
 		keep         string
 	)
@@ -76,6 +77,12 @@
 			if rule != "" && !slices.Contains(audit.Rules, rule) {
 				return fmt.Errorf("--break-rule %q: it must be one of %v", rule, audit.Rules)
 			}
+			if source != "" {
+				if source != "file" && source != "eureka" {
+					return fmt.Errorf("--source %q: it must be file or eureka", source)
+				}
+				s.Registry = source
+			}
 			if seconds > 0 {
 				s.Seconds = seconds
 			}
@@ -111,6 +118,7 @@
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
 	cmd.Flags().BoolVar(&list, "list", false, "list scenarios and troubles")
 	cmd.Flags().BoolVar(&baselines, "baselines", true, "run the baselines beside it, same seed")
+	cmd.Flags().StringVar(&source, "source", "", "where the node list comes from: file or eureka; empty: as the scenario has it")
 	cmd.Flags().BoolVar(&forgets, "no-recovery", false, "a restarted coordinator believes nothing of the time before but the list")
 	cmd.Flags().BoolVar(&noSolver, "no-solver", false, "let the module's tables pass as they are")
 	cmd.Flags().IntVar(&nodes, "nodes", 18, "calc nodes in the list that --held-polls drains one of")
--- a/drill/fleet.go
+++ b/drill/fleet.go
@@ -44,7 +44,8 @@
 
 	mu     sync.Mutex
 	listed map[string]*entry
-	frozen bool // the list's source is broken
+	reg    *registry // in place of the file; nil: the file
+	frozen bool      // the list's source is broken
 	coord  *coordinatorProcess
 	pauses sync.WaitGroup
 	ended  chan struct{}
@@ -76,6 +77,12 @@
 	f.world = standin.NewWorld(log, standin.Rules{Cold: duration(s.Rules.Cold), ColdFrom: s.Rules.ColdFrom,
 		ColdMultiple: s.Rules.ColdMultiple, ColdWindow: duration(s.Rules.ColdWindow)}, seed)
 	f.rng = f.world.Rand("fleet")
+	if s.Registry == "eureka" && m == byCoordinator {
+		var err error
+		if f.reg, err = newRegistry(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range s.Nodes {
 		n, err := standin.NewNode(f.world, standin.NodeOptions{Name: fmt.Sprintf("node-%d", i), Zone: s.Zones[i%len(s.Zones)], Machine: "std",
 			Pod: i / 3, Weight: float64(s.Cores), Cores: s.Cores, Queue: s.Queue, Conns: s.Conns})
@@ -170,6 +177,9 @@
 	for _, n := range f.nodes {
 		n.Kill()
 	}
+	if f.reg != nil {
+		f.reg.close()
+	}
 }
 
 // sleep waits for a length of time or the end of the run; it tells whether the run goes on.
@@ -233,7 +243,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.frozen {
+	if f.frozen && f.reg == nil {
 		return nil
 	}
 	var groups []group
@@ -253,6 +263,10 @@
 		}
 		groups = append(groups, group{[]string{n.Addr}, labels})
 	}
+	if f.reg != nil {
+		f.reg.list(f.world.Start, f.nodes, f.listed, func() { f.log.List(f.world.Now(), states, launched, zones) })
+		return nil
+	}
 	text, err := json.Marshal(groups)
 	if err != nil {
 		return err
--- a/drill/run.go
+++ b/drill/run.go
@@ -155,6 +155,9 @@
 	defer logs.Close()
 	coord := &coordinatorProcess{f: main, cfg: s.Config(main.dir, "127.0.0.1:0", o.Seed), exe: o.Exe, logs: logs}
 	coord.cfg.Solver.Enabled, coord.cfg.Recovery.Enabled = !o.NoSolver, !o.Forgets
+	if main.reg != nil {
+		main.reg.source(&coord.cfg)
+	}
 	main.coord = coord
 	for i, g := range main.gateways {
 		g.Polls = o.Front == "poll" || o.Front == "both" && i%2 == 1
--- a/drill/scenario.go
+++ b/drill/scenario.go
@@ -32,6 +32,7 @@
 	Queue    int             `json:"node_queue"`
 	Conns    int             `json:"node_connections"`
 	Chunk    int             `json:"read_chunk"` // gateways read files by so many bytes; 0: at once
+	Registry string          `json:"registry"`   // file or eureka
 	Troubles []Trouble       `json:"troubles"`
 	Checks   []Check         `json:"checks"`
 }
@@ -108,6 +109,9 @@
 		one := t.usual
 		one.What, one.At = what, 4_000_000
 		s.Troubles = []Trouble{one}
+		if _, is := registryFaults[what]; is {
+			registryAlone(&s, what)
+		}
 		return s, nil
 	}
 	text, err := builtIn.ReadFile(path.Join("scenarios", name+".json"))
@@ -135,6 +139,9 @@
 		s.Reqs <= 0 || len(s.Zones) == 0 || len(s.Kinds) == 0 {
 		return bad("it needs 3 to 3600 seconds, 1 to 2000 nodes and gateways, cores, reqs, zones and kinds")
 	}
+	if s.Registry != "" && s.Registry != "file" && s.Registry != "eureka" {
+		return bad("registry is %q: it must be file or eureka", s.Registry)
+	}
 	for i, t := range s.Troubles {
 		if _, known := troubles[t.What]; !known {
 			return bad("troubles[%d]: there is no %q, but %s", i, t.What, strings.Join(Troubles(), ", "))
--- a/drill/troubles.go
+++ b/drill/troubles.go
@@ -220,6 +220,7 @@
 			}
 		}},
 	}
+	registryTroubles()
 }
 
 // operate sends an operator's request to the coordinator.
--- a/standin/eureka/eureka.go
+++ b/standin/eureka/eureka.go
@@ -34,6 +34,7 @@
 	insts  map[string]*Inst
 	recent []change
 	past   []snapshot
+	rev    int // counts changes
 	now    func() time.Time
 }
 
@@ -54,6 +55,7 @@
 
 type snapshot struct {
 	at    time.Time
+	rev   int
 	insts []Inst
 }
 
@@ -65,7 +67,8 @@
 
 func (r *Registry) changed(action string, i Inst) {
 	r.recent = append(r.recent, change{r.now(), action, i})
-	s := snapshot{at: r.now()}
+	r.rev++
+	s := snapshot{at: r.now(), rev: r.rev}
 	for _, i := range r.insts {
 		s.insts = append(s.insts, *i)
 	}
@@ -123,7 +126,8 @@
 	since  time.Time
 	Calls  int
 	Bytes  int64
-	Busy   map[string]int // calls by path
+	// Good is called after each answer that tells the instances as they were at a revision, without a fault that hides one.
+	Good func(revision int)
 }
 
 // Listen opens a peer of the registry on loopback.
@@ -132,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Peer{Addr: "http://" + l.Addr().String() + "/eureka", reg: r, Busy: map[string]int{}}
+	p := &Peer{Addr: "http://" + l.Addr().String() + "/eureka", reg: r}
 	p.server = &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = p.server.Serve(l) }()
 	return p, nil
@@ -175,12 +179,19 @@
 	parts := strings.Split(path, "/")
 	switch {
 	case req.Method == http.MethodGet && path == "apps":
-		p.answer(w, req, f, p.view(f), "", true)
+		insts, rev := p.view(f)
+		p.answer(w, req, f, insts, "", true)
+		p.good(f, rev)
 	case req.Method == http.MethodGet && path == "apps/delta":
-		p.answer(w, req, f, p.view(f), p.deltas(f, since), true)
+		insts, rev := p.view(f)
+		p.answer(w, req, f, insts, p.deltas(f, since), true)
+		if !f.StaleDelta {
+			p.good(f, rev)
+		}
 	case req.Method == http.MethodGet && len(parts) == 2 && (parts[0] == "apps" || parts[0] == "vips"):
 		var of []Inst
-		for _, i := range p.view(f) {
+		insts, _ := p.view(f)
+		for _, i := range insts {
 			if i.App == strings.ToUpper(parts[1]) || parts[0] == "vips" && i.Metadata["vip"] == parts[1] {
 				of = append(of, i)
 			}
@@ -227,18 +238,33 @@
 	return i != nil
 }
 
+// good tells that a revision has been told whole.
+func (p *Peer) good(f Faults, rev int) {
+	if p.Good != nil && !f.WrongHash && f.Missing == 0 && !f.Truncated && f.Huge == 0 {
+		p.Good(rev)
+	}
+}
+
+// Revision counts the changes so far.
+func (r *Registry) Revision() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rev
+}
+
 // view is what a peer has of the instances, with its faults.
-func (p *Peer) view(f Faults) (out []Inst) {
+func (p *Peer) view(f Faults) (out []Inst, rev int) {
 	p.reg.mu.Lock()
 	defer p.reg.mu.Unlock()
+	rev = p.reg.rev
 	for _, i := range p.reg.insts {
 		out = append(out, *i)
 	}
 	if f.Lag > 0 {
-		out = nil
+		out, rev = nil, 0
 		for _, s := range p.reg.past {
 			if p.reg.now().Sub(s.at) >= f.Lag {
-				out = append([]Inst(nil), s.insts...)
+				out, rev = append([]Inst(nil), s.insts...), s.rev
 			}
 		}
 	}
@@ -252,7 +278,7 @@
 		}
 		out = left
 	}
-	return out
+	return out, rev
 }
 
 // deltas are the changes of late, as JSON members, or stale ones.
