Membership: a registry's new start times are not the nodes', also when told again

Cause: after a mass re-registration the second answer looked unchanged and its start times were taken: the fleet counted as cold and levels let a quarter in.

Change: a start time known to be the registry's stays passed over.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -125,6 +125,7 @@
 	nodes   map[control.Backend]*node
 	sources map[string]*source
 	notes   []string
+	moved   []move // in this step
 	version control.Version
 	last    []control.Entry // as listed last
 	listed  bool
@@ -143,6 +144,7 @@
 	at       map[string]control.Micros
 	dropped  map[string]control.Micros // when the source dropped it
 	forgot   map[string]bool           // it dropped it with many others
+	notStart map[string]control.Micros // start times that are the registry's, not the node's
 	drain    string                    // an operator's reason; empty: none
 	drainAt  control.Micros
 	served   control.Micros // last answer to a gateway
@@ -169,7 +171,8 @@
 func (m *Membership) node(b control.Backend) *node {
 	n := m.nodes[b]
 	if n == nil {
-		n = &node{name: b, said: map[string]Claim{}, at: map[string]control.Micros{}, dropped: map[string]control.Micros{}, forgot: map[string]bool{}, state: Gone,
+		n = &node{name: b, said: map[string]Claim{}, at: map[string]control.Micros{}, dropped: map[string]control.Micros{}, forgot: map[string]bool{},
+			notStart: map[string]control.Micros{}, state: Gone,
 			since: m.now}
 		m.nodes[b] = n
 	}
@@ -251,7 +254,10 @@
 				continue // a peer of the registry that lags: what is known is newer
 			}
 			if restarted && c.Launched > old.Launched {
-				c.Launched = old.Launched // the registry has started anew, not the node
+				n.notStart[a.Source] = c.Launched // the registry has started anew, not the node
+			}
+			if at, not := n.notStart[a.Source]; not && c.Launched == at {
+				c.Launched = old.Launched
 			}
 		}
 		n.said[a.Source], n.at[a.Source] = c, m.now
@@ -376,6 +382,7 @@
 	for _, b := range slices.Sorted(maps.Keys(m.nodes)) {
 		m.decide(m.nodes[b])
 	}
+	m.tell()
 	m.floor()
 	for _, b := range slices.Sorted(maps.Keys(m.nodes)) {
 		n := m.nodes[b]
@@ -406,6 +413,32 @@
 // Version counts the lists that differed from the one before.
 func (m *Membership) Version() control.Version { return m.version }
 
+// move is a node's going from one state to another.
+type move struct {
+	node     control.Backend
+	was, now State
+	why      string
+}
+
+// tell notes what has moved; nodes that went the same way for the same reason share a line.
+func (m *Membership) tell() {
+	for len(m.moved) > 0 {
+		first, names := m.moved[0], []string{}
+		m.moved = slices.DeleteFunc(m.moved, func(o move) bool {
+			same := o.was == first.was && o.now == first.now && o.why == first.why
+			if same {
+				names = append(names, string(o.node))
+			}
+			return same
+		})
+		who := strings.Join(names[:min(3, len(names))], ", ")
+		if len(names) > 3 {
+			who = fmt.Sprintf("%d nodes (%s, ...)", len(names), who)
+		}
+		m.note("%s: %s, was %s: %s", who, first.now, first.was, first.why)
+	}
+}
+
 // answered tells whether any source has ever answered.
 func (m *Membership) answered() bool {
 	for _, s := range m.sources {
@@ -437,7 +470,7 @@
 		if state != was {
 			n.since = m.now
 			if was != Gone || state != Ready {
-				m.note("%s is %s, was %s: %s", n.name, state, was, why)
+				m.moved = append(m.moved, move{n.name, was, state, why})
 			}
 		}
 		n.state, n.why = state, why
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -236,9 +236,14 @@
 		}
 	}
 	s.pass(5, sixNodes...)
+	a.Claims = slices.Clone(a.Claims)
+	s.m.Take(s.now, a) // and says so again and again
 	a.Claims[2].Launched = s.now
 	s.m.Take(s.now, a)
 	s.step()
+	if at := s.launched("b1"); at != 10*second {
+		t.Errorf("the others are cold since %d", at)
+	}
 	if at := s.launched("a3"); at != s.now {
 		t.Errorf("it has restarted at %d, and counts as started at %d", s.now, at)
 	}
