--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -75,9 +75,7 @@
 		c.list.entries[e.Backend] = e
 	}
 	if in.How != control.ListSaved {
-		if !c.list.has {
-			c.belief.Listed(c.now, c.present())
-		}
+		c.belief.Listed(c.now, c.present())
 		c.list.has = true
 		c.out(Save{control.List{Version: in.Version, How: control.ListSaved, Entries: c.present()}})
 	}
--- a/coordinator/recall.go
+++ b/coordinator/recall.go
@@ -16,7 +16,6 @@
 	s := recovery.Snapshot{Format: recovery.Format, Build: c.set.Build, Epoch: c.set.Epoch, At: c.now, Steps: c.steps, Version: c.list.version,
 		Nodes: c.present(), Pins: c.book.Keep(), Drains: c.members.Drains(), Kinds: c.kindNames(), Zones: slices.Clone(c.set.Up.Zones)}
 	if c.solving != nil {
-		s.Speeds, s.Costs = c.solving.estimate.Keep()
 		s.Marks = c.solving.judge.Marks()
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.gateways)) {
@@ -47,7 +46,6 @@
 	c.now = max(c.now, now)
 	c.belief = &b
 	if c.solving != nil {
-		c.solving.estimate.Recall(b.Speeds, b.Costs, b.Part)
 		c.solving.judge.Recall(now, b.Marks)
 		for _, e := range b.Nodes { // what was learned is of these processes
 			c.solving.starts[e.Backend] = e.Launched
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -26,16 +26,14 @@
 	At     control.Micros `cbor:"at_us"`
 	Steps  uint64         `cbor:"steps"`
 
-	Version  control.Version                  `cbor:"list_version"`
-	Nodes    []control.Entry                  `cbor:"nodes"` // draining ones too
-	Speeds   map[control.Backend]solver.Speed `cbor:"speeds,omitempty"`
-	Costs    [][2]float64                     `cbor:"costs,omitempty"` // by request kind
-	Marks    []solver.Mark                    `cbor:"marks,omitempty"`
-	Gateways []Gateway                        `cbor:"gateways,omitempty"`
-	Pins     []tables.Kept                    `cbor:"pins,omitempty"`
-	Drains   map[control.Backend]string       `cbor:"drains,omitempty"` // by operators, with their reasons
-	Kinds    []string                         `cbor:"kinds"`            // what positions stand for
-	Zones    []control.Zone                   `cbor:"zones"`            // tables are numbered by them
+	Version  control.Version            `cbor:"list_version"`
+	Nodes    []control.Entry            `cbor:"nodes"` // draining ones too
+	Marks    []solver.Mark              `cbor:"marks,omitempty"`
+	Gateways []Gateway                  `cbor:"gateways,omitempty"`
+	Pins     []tables.Kept              `cbor:"pins,omitempty"`
+	Drains   map[control.Backend]string `cbor:"drains,omitempty"` // by operators, with their reasons
+	Kinds    []string                   `cbor:"kinds"`            // what positions stand for
+	Zones    []control.Zone             `cbor:"zones"`            // tables are numbered by them
 }
 
 // Gateway is what was known of one.
@@ -58,9 +56,6 @@
 	// KnownAt: a node that was not listed then has started since. 0: that is not known.
 	KnownAt  control.Micros
 	Version  control.Version
-	Speeds   map[control.Backend]solver.Speed
-	Costs    [][2]float64
-	Part     float64 // of what was learned that counts
 	Marks    []solver.Mark
 	Gateways map[string]Gateway
 	Pins     []tables.Kept
@@ -77,8 +72,6 @@
 const (
 	// MarksFor: a node that failed a kind so long ago may well serve it now; it is tried anew, at the price of a few reqs.
 	MarksFor = 60 * second
-	// LearnedFor: speeds change with the machine and the build, not by the minute.
-	LearnedFor = 10 * 60 * second
 	// HoldFor: weights fit the load that they were made for.
 	HoldFor = 30 * second
 	// HoldAtMost: after so long the module's own have had every chance.
@@ -119,11 +112,6 @@
 		return b
 	}
 	seconds := float64(age) / float64(second)
-	if age <= LearnedFor {
-		b.Speeds, b.Costs, b.Part = maps.Clone(s.Speeds), s.Costs, 0.5
-	} else {
-		not("speeds are %.0f s old", seconds)
-	}
 	if age <= MarksFor {
 		b.Marks = s.Marks
 	} else if len(s.Marks) > 0 {
@@ -164,7 +152,7 @@
 
 // String says in words what is believed.
 func (b *Belief) String() string {
-	return fmt.Sprintf("from start %s: %d nodes, %d speeds, %d marks, %d gateways, %d pins; weights held: %t", b.From, len(b.Nodes), len(b.Speeds),
+	return fmt.Sprintf("from start %s: %d nodes, %d marks, %d gateways, %d pins; weights held: %t", b.From, len(b.Nodes),
 		len(b.Marks), len(b.Gateways), len(b.Pins), b.Until > 0)
 }
 
@@ -195,8 +183,8 @@
 	return nil, false
 }
 
-// Listed ends the holding of weights if the first fresh list has other nodes ready than the snapshot had: weights were made
-// for the fleet as it was.
+// Listed ends the holding of weights if a fresh list has other nodes ready than the snapshot had: weights were made for the
+// fleet as it was.
 func (b *Belief) Listed(now control.Micros, entries []control.Entry) {
 	if b == nil || now >= b.Until {
 		return
