--- a/daemon/nodes_test.go
+++ b/daemon/nodes_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -134,3 +136,33 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A snapshot that is damaged, cut off or from another format is said and passed over; the list alone is enough to start.
+func TestSnapshotThatCantBeRead(t *testing.T) {
+	for name, spoil := range map[string]func([]byte) []byte{
+		"cut off":        func(b []byte) []byte { return b[:10] },
+		"flipped":        func(b []byte) []byte { b[len(b)-3] ^= 4; return b },
+		"another format": func(b []byte) []byte { b[len(snapshotMagic)]++; return b },
+		"empty":          func([]byte) []byte { return nil },
+	} {
+		r := newRig(t, nil)
+		g := r.gateway("gw-1", "a")
+		path := filepath.Join(r.dir, "state", snapshotName)
+		r.until("a snapshot", func() bool { g.turn(t); _, err := os.Stat(path); return err == nil && g.held.Snapshot.Open("view") > 0 })
+		g.link.Close()
+		r.stop()
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, spoil(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadSnapshot(filepath.Join(r.dir, "state")); !errors.Is(err, ErrSnapshot) {
+			t.Errorf("%s: %v", name, err)
+		}
+		r.start(nil)
+		again := r.gateway("gw-1", "a")
+		r.until(name+": tables all the same", func() bool { again.turn(t); return again.held.Snapshot.Open("view") > 0 })
+	}
+}
--- a/drill/registry.go
+++ b/drill/registry.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"porthub/audit"
 	"porthub/config"
 	"porthub/standin"
@@ -24,17 +26,19 @@
 	mu      sync.Mutex
 	pending []told // by revision, not told yet
 	stands  map[string]eureka.Inst
+	took    *hdrhistogram.Histogram // from a change to its being told, microseconds
 }
 
 type told struct {
 	rev  int
+	at   time.Time
 	tell func()
 }
 
 const registryApp = "CALC"
 
 func newRegistry() (*registry, error) {
-	r := &registry{reg: eureka.New(), stands: map[string]eureka.Inst{}}
+	r := &registry{reg: eureka.New(), stands: map[string]eureka.Inst{}, took: hdrhistogram.New(1, 60_000_000, 3)}
 	for range 2 {
 		p, err := r.reg.Listen()
 		if err != nil {
@@ -58,6 +62,7 @@
 	defer r.mu.Unlock()
 	for len(r.pending) > 0 && r.pending[0].rev <= rev {
 		r.pending[0].tell()
+		_ = r.took.RecordValue(max(1, time.Since(r.pending[0].at).Microseconds()))
 		r.pending = r.pending[1:]
 	}
 }
@@ -85,7 +90,7 @@
 			r.stands[n.Addr] = i
 		}
 	}
-	r.pending = append(r.pending, told{r.reg.Revision(), tell})
+	r.pending = append(r.pending, told{r.reg.Revision(), time.Now(), tell})
 }
 
 // source is the coordinator's configuration for it.
@@ -97,6 +102,28 @@
 	c.Registry.File.Path, c.Registry.Eureka = "", []config.EurekaRegistry{e}
 }
 
+// asked sums what the registry saw.
+func (r *registry) asked() (out Asked) {
+	for _, p := range r.peers {
+		calls, bytes := p.Load()
+		out.Calls, out.Bytes = out.Calls+calls, out.Bytes+bytes
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out.Told = Latency{float64(r.took.ValueAtQuantile(50)) / 1000, float64(r.took.ValueAtQuantile(99)) / 1000}
+	out.Changes = r.took.TotalCount()
+	return out
+}
+
+// Asked is what a registry saw of the coordinator.
+type Asked struct {
+	Calls   int   `json:"calls"`
+	Bytes   int64 `json:"bytes"`
+	Changes int64 `json:"changes"`
+	// Told is from a change at the registry until a peer has told it; from there on see latency_ms.
+	Told Latency `json:"told_ms"`
+}
+
 // registryFaults are what goes wrong at the registry, by the names of troubles.
 var registryFaults = map[string]struct {
 	about  string
--- a/drill/run.go
+++ b/drill/run.go
@@ -53,6 +53,7 @@
 	StopMs    float64                  `json:"stop_ms"` // from SIGTERM to the end
 	Converged float64                  `json:"converged_s,omitempty"`
 	Restarts  []Restarted              `json:"restarts,omitempty"`
+	Registry  *Asked                   `json:"registry,omitempty"`
 	Baselines map[string]Baseline      `json:"baselines"`
 	Checks    []Outcome                `json:"checks"`
 	Cells     map[string]float64       `json:"cells"`   // service by kind@zone
@@ -198,6 +199,10 @@
 	res.Requests, res.Service, res.Worst10s = sum.Reqs, sum.Service(), main.tally.Worst(10)
 	res.Busiest = main.log.Busiest()
 	res.By5s = main.tally.Windows(5)
+	if main.reg != nil {
+		asked := main.reg.asked()
+		res.Registry = &asked
+	}
 	for _, r := range main.log.Restarts() {
 		one := Restarted{At: r.Down.Seconds(), Down: (r.Up - r.Down).Seconds(), Service: main.tally.Between(r.Down, r.Down+10*time.Second)}
 		if r.First > 0 {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -360,3 +360,49 @@
 		}
 	}
 }
+
+// A thousand nodes, a hall of which flaps for ten minutes while the registry answers each five seconds: the others' lines
+// never change, and the list does not change by the hundred.
+func TestThousandNodesOneFlappingHall(t *testing.T) {
+	s := newSite(t)
+	var up, down []string
+	var steady, hall []control.Backend
+	for i := range 1000 {
+		name := fmt.Sprintf("%c%d", "ab"[i%2], i)
+		up = append(up, name+"+")
+		if i%2 == 1 && i < 600 {
+			hall, down = append(hall, control.Backend(name)), append(down, name+"-")
+		} else {
+			steady, down = append(steady, control.Backend(name)), append(down, name+"+")
+		}
+	}
+	s.says("eureka", up...)
+	s.pass(5, append(slices.Clone(steady), hall...)...)
+	before := s.changes
+	for i := range 60 {
+		if i%2 == 0 {
+			s.says("eureka", down...)
+		} else {
+			s.says("eureka", up...)
+		}
+		s.now += 10 * second
+		for _, b := range steady {
+			s.m.Served(s.now, b, 5, 0)
+		}
+		s.step()
+		listed := map[control.Backend]bool{}
+		for _, e := range s.listed {
+			listed[e.Backend] = true
+		}
+		for _, b := range steady {
+			if !listed[b] {
+				t.Fatalf("%s, which is well, is out in round %d", b, i)
+			}
+		}
+	}
+	if n := s.changes - before; n > 20 {
+		t.Errorf("%d lists in ten minutes, 60 without damping", n)
+	} else {
+		t.Logf("%d lists in ten minutes, 60 without damping", n)
+	}
+}
