--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -26,6 +26,8 @@
 		noSolver     bool
 		forgets      bool
 		source       string
+		reporting    int
+		bound, procs int
 		held, nodes  int
 		keep         string
 	)
@@ -63,6 +65,17 @@
 				}
 				return printAny(cmd.OutOrStdout(), m)
 			}
+			if reporting > 0 {
+				exe, err := os.Executable()
+				if err != nil {
+					return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
+				}
+				m, err := drill.MeasureIntake([]string{exe}, reporting, max(nodes, 100), bound, max(seconds, 10), procs)
+				if err != nil {
+					return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
+				}
+				return printAny(cmd.OutOrStdout(), m)
+			}
 			name := "bad-day"
 			if len(args) > 0 {
 				name = args[0]
@@ -121,6 +134,9 @@
 	cmd.Flags().StringVar(&source, "source", "", "where the node list comes from: file or eureka; empty: as the scenario has it")
 	cmd.Flags().BoolVar(&forgets, "no-recovery", false, "a restarted coordinator believes nothing of the time before but the list")
 	cmd.Flags().BoolVar(&noSolver, "no-solver", false, "let the module's tables pass as they are")
+	cmd.Flags().IntVar(&reporting, "reporting", 0, "measure instead: so many gateways report on a known traffic each second")
+	cmd.Flags().IntVar(&bound, "bound", 300000, "with --reporting: lines that are taken in a second; 0: all")
+	cmd.Flags().IntVar(&procs, "procs", 0, "with --reporting: cores that the coordinator may use; 0: all")
 	cmd.Flags().IntVar(&nodes, "nodes", 18, "calc nodes in the list that --held-polls drains one of")
 	cmd.Flags().IntVar(&held, "held-polls", 0, "measure instead: so many gateways with two held polls each are woken at once")
 	cmd.Flags().StringVar(&keep, "keep", "", "use this folder and leave files and logs there")
--- a/config/config.go
+++ b/config/config.go
@@ -152,6 +152,7 @@
 	Period   Duration `json:"period"`
 	LinesPer float64  `json:"lines_per_s"` // at most so many are taken in
 	Loads    []string `json:"loads"`       // load figures in answers: util, queue, qps
+	Intake   int      `json:"intake"`      // lines of reports that are taken in a second, the rest is sampled; 0: all
 }
 
 // Gateways tells what to expect of them.
@@ -207,7 +208,7 @@
 		Rules: Rules{EmptyFor: 5 * s, DrainGrace: 3 * s, Cold: 17 * s, ColdFrom: 0.16, ColdMultiple: 2.5,
 			ColdWindow: 2 * s, GoneBinds: true, WaitingLines: 8000, Messages: 20, MessagesIn: 10 * s},
 		Channel: Channel{LinesPerS: 6000, Envelope: 6, Transit: 100 * ms, WorstTransit: 500 * ms, Connections: 200},
-		Reports: Reports{Period: 1 * s, LinesPer: 2000, Loads: []string{"util", "queue"}},
+		Reports: Reports{Period: 1 * s, LinesPer: 2000, Intake: 300_000, Loads: []string{"util", "queue"}},
 		Gateways: Gateways{Expected: 1, ShunAfter: 5,
 			SilentAfter: 5 * s},
 		Probes:   Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
@@ -373,6 +374,7 @@
 		fmt.Sprintf("is %d", c.Front.Files.Writers), "it must be 1 to 64")
 	need(c.Front.Poll.Most > 0 && c.Front.Poll.Keep > 0, "front.poll", fmt.Sprintf("most is %d, deltas %d", c.Front.Poll.Most, c.Front.Poll.Keep),
 		"both must be 1 or more")
+	need(c.Reports.Intake >= 0, "reports.intake", fmt.Sprintf("is %d", c.Reports.Intake), "lines a second, or 0 for all")
 	need(c.Capture.Segment >= 4096 && c.Capture.Budget >= 2*c.Capture.Segment && c.Capture.Age > 0, "capture",
 		fmt.Sprintf("budget is %d, segment %d, age %d us", c.Capture.Budget, c.Capture.Segment, c.Capture.Age),
 		"a segment has at least 4096 bytes, the budget is at least two of them, and age is above 0")
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,6 +8,7 @@
 
 	"porthub/choice"
 	"porthub/control"
+	"porthub/intake"
 	"porthub/membership"
 	"porthub/recovery"
 	"porthub/tables"
@@ -24,6 +25,7 @@
 	SilentAfter micros   // without a word for so long a gateway counts as away
 	AllowEmpty  bool     // an empty list after one that was not is believed
 	Solver      bool     // tables that break limits give way to the solver's
+	Intake      float64  // lines of reports that are taken in a second; 0: all
 	Sources     []string // registries beside the file, the most trusted first
 	Build       string   // names the build, for snapshots and captures
 	Sync        bool     // documents are synced while the disk is quick enough for it
@@ -63,7 +65,9 @@
 	released bool             // its weights are held no longer
 	rounds   int              // of reports from nearly all gateways, while belief lasts
 	sums     sums
-	reported bool // a report has been told to the module
+	intake   *intake.Intake
+	busy     string // the nodes' own figure that is their busy share
+	reported bool   // a report has been told to the module
 	counts   map[string]*count
 }
 
@@ -86,6 +90,10 @@
 	c.sums.reset()
 	c.made = map[madeKey]made{}
 	c.book = tables.NewBook(keepVersions, keepFor)
+	if len(set.Up.Reports.Fields) > 0 {
+		c.busy = set.Up.Reports.Fields[0]
+	}
+	c.intake = intake.New(intake.Settings{Lines: set.Intake, Period: set.Up.Reports.Period, Seed: set.Up.Seed})
 	c.members = membership.New(membership.Settings{Zones: set.Up.Zones, Binding: map[string]bool{FileSource: true},
 		Sources: append([]string{FileSource}, set.Sources...)})
 	if set.Solver {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"porthub/control"
+	"porthub/intake"
 )
 
 // sums is what the gateways have reported since the module was last told.
@@ -69,6 +70,16 @@
 		r = r.scaled(float64(period) / float64(r.Interval))
 		r.Interval = period
 	}
+	lines, arrived := 0, 0
+	for _, k := range r.Kinds {
+		lines, arrived = lines+len(k.Endpoints), arrived+k.Arrived
+	}
+	verdict := c.intake.Offer(c.now, string(g.name), lines, arrived, r.Interval)
+	if verdict.Part < 1 {
+		c.complain("report_sudden", g.name, "%d reqs came to it in %.1f s by its word: %.3f of that is believed", arrived, float64(r.Interval)/float64(second),
+			verdict.Part)
+		r = r.scaled(verdict.Part)
+	}
 	for _, k := range r.Kinds {
 		kind := c.kinds[k.Kind]
 		u := c.sums.usage[usageKey{g.proxy, kind}]
@@ -85,7 +96,18 @@
 			if _, known := c.list.entries[e.Backend]; !known || e.Tries == 0 {
 				continue // its standing table may name what we were never told of
 			}
+			stands, taken := c.intake.Take(verdict, intake.Line{Node: e.Backend, Tries: e.Tries, Errored: e.Errored})
+			if !taken {
+				continue
+			}
+			if util, told := e.Loads[c.busy]; told {
+				c.intake.Loaded(e.Backend, util)
+			}
 			c.members.Served(c.now, e.Backend, e.Tries-e.Errored, e.Errored)
+			if stands > 1 { // it stands for others that were not taken
+				e.Tries, e.Errored = int(math.Round(float64(e.Tries)*stands)), int(math.Round(float64(e.Errored)*stands))
+				e.Active = int(math.Round(float64(e.Active) * stands))
+			}
 			if c.solving != nil {
 				c.solving.hear(g.zone, kind, e, r.Interval)
 			}
@@ -180,6 +202,7 @@
 	keys := slices.SortedFunc(maps.Keys(c.sums.heard), func(a, b heardKey) int {
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.backend, b.backend))
 	})
+	c.intake.Close(c.now)
 	gathering := c.gathering()
 	c.believed(gathering)
 	if c.solving != nil {
--- a/coordinator/status.go
+++ b/coordinator/status.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"porthub/control"
+	"porthub/intake"
 	"porthub/tables"
 )
 
@@ -32,11 +33,37 @@
 	Nodes    []control.Entry `json:"nodes"`
 	Gateways []GatewayStatus `json:"gateways"`
 	Solver   *SolverStatus   `json:"solver,omitempty"`
+	Intake   intake.Stats    `json:"intake"`
+	Heard    []NodeHeard     `json:"heard"`
 }
 
+// NodeHeard is what reports say of a node now, with the error that each figure has in 19 of 20 cases.
+type NodeHeard struct {
+	Backend control.Backend `json:"node"`
+	intake.Figures
+}
+
+// Now is the time of the last step.
+func (c *Core) Now() control.Micros { return c.now }
+
+// Heard tells what reports say of the nodes.
+func (c *Core) Heard() (intake.Stats, []NodeHeard) {
+	var out []NodeHeard
+	for _, b := range slices.Sorted(maps.Keys(c.list.entries)) {
+		if f, known := c.intake.View(c.now, b); known {
+			out = append(out, NodeHeard{b, f})
+		}
+	}
+	return c.intake.Stats(), out
+}
+
+// Stretch is how much longer than the period gateways are asked to wait between reports.
+func (c *Core) Stretch() int { return c.intake.Stretch() }
+
 // Status tells how the core stands. It changes nothing.
 func (c *Core) Status() Status {
-	s := Status{Now: c.now, Steps: c.steps, Solver: c.solverStatus()}
+	s := Status{Now: c.now, Steps: c.steps, Solver: c.solverStatus(), Intake: c.intake.Stats()}
+	_, s.Heard = c.Heard()
 	for _, b := range slices.Sorted(maps.Keys(c.list.entries)) {
 		s.Nodes = append(s.Nodes, c.list.entries[b])
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -56,6 +57,7 @@
 	writer *capture.Writer         // nil: no capture
 	took   *hdrhistogram.Histogram // steps of the core, microseconds; of the loop's goroutine
 
+	stretch      atomic.Int64 // how much longer than a period reports may wait
 	rememberedAt control.Micros
 	cantSave     bool // of the goroutine that saves
 	cantCapture  bool
@@ -130,7 +132,7 @@
 	for _, e := range o.Config.Registry.Eureka {
 		names = append(names, e.Name)
 	}
-	d.set = coordinator.Settings{Build: Build(), Sources: names, Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
+	d.set = coordinator.Settings{Build: Build(), Intake: float64(o.Config.Reports.Intake), Sources: names, Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
 		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled,
 		Sync: o.Config.Front.Files.Sync}
 	d.core = coordinator.New(d.set)
@@ -310,6 +312,7 @@
 		}
 	}
 	d.remember(now, urgent)
+	d.stretch.Store(int64(d.core.Stretch()))
 	if d.tap != nil {
 		d.tap(now, inputs, d.core)
 	}
--- a/daemon/nodes.go
+++ b/daemon/nodes.go
@@ -8,6 +8,7 @@
 	"porthub/config"
 	"porthub/control"
 	"porthub/coordinator"
+	"porthub/intake"
 	"porthub/membership"
 	"porthub/registry/eureka"
 )
@@ -81,3 +82,19 @@
 	}
 	return o
 }
+
+// Heard is what GET /intake answers.
+type Heard struct {
+	Now      control.Micros          `json:"now_us"`
+	Intake   intake.Stats            `json:"intake"`
+	Deferred int64                   `json:"deferred"` // reports that were answered 429
+	Inbox    int                     `json:"inbox"`    // waiting for the core
+	Steps    Times                   `json:"step_us"`
+	Nodes    []coordinator.NodeHeard `json:"nodes"`
+}
+
+func (d *Daemon) heard(c *coordinator.Core) []byte {
+	stats, nodes := c.Heard()
+	return text(Heard{c.Now(), stats, d.server.deferred.Load(), len(d.inbox), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
+		d.took.Max()}, nodes})
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -43,11 +43,12 @@
 	next   atomic.Uint64
 	peers  *xsync.Map[coordinator.Conn, *peer]
 	// main has each gateway's connection that counts as its link. One that polls may have more: they carry polls alone.
-	main    *xsync.Map[coordinator.Gateway, *peer]
-	ended   chan error
-	from    *xsync.Map[string, *atomic.Int64] // connections by address
-	refused atomic.Int64                      // since the core was told
-	toldAt  atomic.Int64                      // when, nanoseconds
+	main     *xsync.Map[coordinator.Gateway, *peer]
+	ended    chan error
+	from     *xsync.Map[string, *atomic.Int64] // connections by address
+	deferred atomic.Int64                      // reports that were told to come later
+	refused  atomic.Int64                      // since the core was told
+	toldAt   atomic.Int64                      // when, nanoseconds
 }
 
 // refuse counts an error that a peer was answered with, and tells the core once a second at most: one that sends garbage
@@ -74,6 +75,7 @@
 	joined  bool // the core has been told that it is its gateway's link
 	// requests that came on it
 	requests int
+	reported time.Time        // when its last report was taken
 	link     coordinator.Conn // the gateway's main connection; its own if it is that
 	cancel   atomic.Pointer[func()]
 }
@@ -288,7 +290,14 @@
 			fail(http.StatusBadRequest, err.Error())
 			return
 		}
-		text, err := xds.Encode(xds.Reporting(control.Micros(s.d.cfg.Reports.Period)))
+		// A gateway whose last report is young waits while the core is behind: the others' come first.
+		if behind := len(s.d.inbox) > inboxLength/2; behind && time.Since(p.reported) < time.Duration(s.d.cfg.Reports.Period)*time.Microsecond {
+			s.deferred.Add(1)
+			s.answer(p, http.StatusTooManyRequests, textType, []byte("the core is behind: report later\n"))
+			return
+		}
+		p.reported = time.Now()
+		text, err := xds.Encode(xds.Reporting(control.Micros(s.d.cfg.Reports.Period) * control.Micros(max(1, s.d.stretch.Load()))))
 		if err != nil {
 			fail(http.StatusInternalServerError, err.Error())
 			return
@@ -298,6 +307,10 @@
 		if !s.d.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
+	case req.Method == http.MethodGet && req.URL.Path == "/intake":
+		if !s.d.offer(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+			fail(http.StatusServiceUnavailable, "busy")
+		}
 	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", strings.HasPrefix(req.URL.Path, "/nodes/"):
 		operate, code, err := s.d.operation(req, body)
 		if err != nil {
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,303 @@
+// Package intake decides how much of what gateways report is taken when more comes than can be, so that what is left is
+// unbiased and its error is known. It is pure: time is handed in, chance comes from hashes.
+//
+// A report has two parts. What came to the gateway (three figures or so) is always taken. What it met at nodes, one line for
+// each node and kind, is most of the work. Lines that bear news (errors) are taken for certain; calm ones are sampled: a
+// gateway's calm lines are taken in one round of 1/p, by a rotation that each gateway enters at a place of its own. So each
+// is heard at least every 1/p rounds, none is forgotten, and a line that is taken stands for 1/p lines.
+package intake
+
+import (
+	"hash/crc32"
+	"math"
+	"slices"
+
+	"porthub/control"
+)
+
+// Settings bound an intake.
+type Settings struct {
+	Lines  float64        // that may be taken in a second; 0: no bound
+	Period control.Micros // of reports
+	Seed   uint64
+}
+
+// Line is what a gateway met at a node for a kind.
+type Line struct {
+	Node    control.Backend
+	Tries   int
+	Errored int
+}
+
+// Verdict is what becomes of a report's lines.
+type Verdict struct {
+	// Calm: lines without news are taken, and each stands for Weight of its sort.
+	Calm   bool
+	Weight float64
+	// Part is what of the report's counts is believed: below 1 for a gateway that suddenly claims many times its traffic.
+	Part float64
+}
+
+// Stats counts, since the start.
+type Stats struct {
+	Reports int64   `json:"reports"`
+	Lines   int64   `json:"lines"`   // offered
+	Taken   int64   `json:"taken"`   // of them
+	News    int64   `json:"news"`    // taken for their news
+	Capped  int64   `json:"capped"`  // reports that claimed too much
+	Part    float64 `json:"part"`    // of calm lines that is taken now
+	Rounds  int64   `json:"rounds"`  // closed
+	Sampled int64   `json:"sampled"` // rounds in which not all were
+}
+
+// Intake keeps what the rules need of each gateway and node. Its memory is bounded by the gateways and nodes that it is
+// told of; Forget drops them.
+type Intake struct {
+	set      Settings
+	part     float64 // p
+	round    uint64
+	began    control.Micros
+	offered  float64 // lines in this round
+	news     float64
+	gateways map[string]*gateway
+	nodes    map[control.Backend]*node
+	stats    Stats
+	usual    float64 // reqs a second of a gateway, the fleet's mean
+	heard    int     // gateways in this round
+	reqs     float64
+}
+
+type gateway struct {
+	phase  float64
+	usage  float64 // reqs a second, half way to the new with each report
+	known  int     // reports
+	at     control.Micros
+	sudden int // reports in a row that claimed too much
+}
+
+// node sums one round.
+type node struct {
+	tries, errored float64 // estimated
+	variance       float64 // of tries
+	lines          int
+	load           Load
+	last           Figures
+}
+
+// Load is a node's own figures as reports carry them.
+type Load struct {
+	n, sum, sumSquares float64
+}
+
+// Figures are what is known of a node from one round, each with the error that it has in 19 of 20 cases.
+type Figures struct {
+	Tries      float64        `json:"tries_per_s"`
+	TriesError float64        `json:"tries_error"`
+	Errored    float64        `json:"errored_per_s"`
+	Util       float64        `json:"util"`
+	UtilError  float64        `json:"util_error"`
+	Lines      int            `json:"lines"` // taken
+	At         control.Micros `json:"at_us"`
+}
+
+// What the rules go by.
+const (
+	leastPart = 1.0 / 32 // of calm lines; a gateway is heard every 32nd round at worst
+	slack     = 0.9      // of the bound that is planned for
+	newsPart  = 0.2      // of a line's tries that err make it news
+	sudden    = 20.0     // times its usual traffic, and the fleet's mean, is more than is believed at once
+	believed  = 3        // reports in a row that say so are
+	twoSigma  = 2.0
+)
+
+// New starts an intake that takes everything.
+func New(set Settings) *Intake {
+	return &Intake{set: set, part: 1, gateways: map[string]*gateway{}, nodes: map[control.Backend]*node{}, stats: Stats{Part: 1}}
+}
+
+func (in *Intake) gateway(name string) *gateway {
+	g := in.gateways[name]
+	if g == nil {
+		var seed [8]byte
+		for i := range seed {
+			seed[i] = byte(in.set.Seed >> (8 * i))
+		}
+		// A hash spreads gateways over the rotation; names that count up must not be heard one after the other.
+		sum := crc32.Update(crc32.ChecksumIEEE(seed[:]), crc32.IEEETable, []byte(name))
+		g = &gateway{phase: float64(scramble(sum)) / (1 << 32)}
+		in.gateways[name] = g
+	}
+	return g
+}
+
+// scramble spreads sums that differ little.
+func scramble(x uint32) uint32 {
+	x ^= x >> 16
+	x *= 0x7feb352d
+	x ^= x >> 15
+	x *= 0x846ca68b
+	return x ^ x>>16
+}
+
+// Offer decides on a report: how many lines it has, what came to the gateway in the interval.
+func (in *Intake) Offer(now control.Micros, name string, lines, arrived int, interval control.Micros) Verdict {
+	if in.began == 0 {
+		in.began = now
+	}
+	g := in.gateway(name)
+	in.stats.Reports++
+	in.stats.Lines += int64(lines)
+	in.offered += float64(lines)
+	v := Verdict{Weight: 1 / in.part, Part: 1}
+	rate := float64(arrived) * 1e6 / float64(max(1, interval))
+	most := sudden * max(g.usage, in.usual)
+	if g.known >= believed && most > 0 && rate > most && g.sudden < believed {
+		// One process that claims the fleet's traffic has counted wrong far likelier than it has grown so in a second.
+		g.sudden++
+		in.stats.Capped++
+		v.Part = most / rate
+	} else if rate <= most {
+		g.sudden = 0
+	}
+	if g.known++; g.known == 1 {
+		g.usage = rate
+	}
+	if v.Part == 1 {
+		g.usage += 0.5 * (rate - g.usage)
+	}
+	g.at = now
+	if v.Part == 1 {
+		in.heard, in.reqs = in.heard+1, in.reqs+rate
+	}
+	_, place := math.Modf(g.phase + float64(in.round)*in.part)
+	v.Calm = in.part >= 1 || place < in.part
+	return v
+}
+
+// News tells whether a line is taken whatever the sampling says.
+func News(l Line) bool {
+	return l.Errored >= 2 && float64(l.Errored) >= newsPart*float64(l.Tries) || l.Errored > 0 && l.Errored == l.Tries
+}
+
+// Take tells whether a line of a report is taken and how many of its sort it stands for.
+func (in *Intake) Take(v Verdict, l Line) (weight float64, taken bool) {
+	news := News(l)
+	if !news && !v.Calm {
+		return 0, false
+	}
+	weight = 1
+	if in.stats.Taken++; news {
+		in.news++
+		in.stats.News++
+	} else {
+		weight = v.Weight
+	}
+	n := in.nodes[l.Node]
+	if n == nil {
+		n = &node{}
+		in.nodes[l.Node] = n
+	}
+	tries := float64(l.Tries) * v.Part
+	n.tries, n.errored, n.lines = n.tries+weight*tries, n.errored+weight*float64(l.Errored)*v.Part, n.lines+1
+	n.variance += weight * (weight - 1) * tries * tries // of a line that is taken with the chance 1/weight
+	return weight, true
+}
+
+// Loaded adds a node's own figure as a line that was taken carries it.
+func (in *Intake) Loaded(b control.Backend, util float64) {
+	if n := in.nodes[b]; n != nil {
+		n.load.n, n.load.sum, n.load.sumSquares = n.load.n+1, n.load.sum+util, n.load.sumSquares+util*util
+	}
+}
+
+// Close ends a round: what was heard becomes the view, and the part for the next is planned from what came.
+func (in *Intake) Close(now control.Micros) {
+	seconds := float64(now-in.began) / 1e6
+	if seconds <= 0 {
+		return
+	}
+	in.stats.Rounds++
+	if in.part < 1 {
+		in.stats.Sampled++
+	}
+	for _, n := range in.nodes {
+		if n.lines == 0 {
+			continue // the view stays and ages
+		}
+		f := Figures{Tries: n.tries / seconds, TriesError: twoSigma * math.Sqrt(n.variance) / seconds, Errored: n.errored / seconds, Lines: n.lines, At: now}
+		if n.load.n > 0 {
+			mean := n.load.sum / n.load.n
+			f.Util = mean
+			f.UtilError = twoSigma * math.Sqrt(max(0, n.load.sumSquares/n.load.n-mean*mean)/n.load.n)
+		}
+		*n = node{last: f}
+	}
+	if in.heard > 0 {
+		in.usual = in.reqs / float64(in.heard) / max(1, seconds*1e6/float64(max(1, in.set.Period)))
+	}
+	if in.set.Lines > 0 {
+		// News goes first; what is left of the bound is the calm lines'.
+		room := max(0, slack*in.set.Lines*seconds-in.news)
+		want := 1.0
+		if calm := in.offered - in.news; calm > room {
+			want = max(leastPart, room/calm)
+		}
+		if want < in.part {
+			in.part = want // at once
+		} else {
+			in.part = min(want, in.part*1.25) // and back by and by
+		}
+	}
+	in.stats.Part = in.part
+	in.round++
+	in.began, in.offered, in.news, in.heard, in.reqs = now, 0, 0, 0, 0
+}
+
+// View is what is known of a node, with the age of it: the error grows by what a second may change.
+func (in *Intake) View(now control.Micros, b control.Backend) (f Figures, known bool) {
+	n := in.nodes[b]
+	if n == nil || n.last.At == 0 {
+		return f, false
+	}
+	f = n.last
+	if late := float64(now-f.At)/float64(max(1, in.set.Period)) - 1; late > 0 {
+		f.TriesError += drift * late * f.Tries
+		f.UtilError += drift * late * max(f.Util, 0.1)
+	}
+	return f, true
+}
+
+// drift is the part of a figure by which it may have changed in a period that was not heard.
+const drift = 0.1
+
+// Silent lists gateways that have said nothing for so long, in the order of their names.
+func (in *Intake) Silent(now, after control.Micros) (names []string) {
+	for name, g := range in.gateways {
+		if now-g.at > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Forget drops a gateway.
+func (in *Intake) Forget(name string) { delete(in.gateways, name) }
+
+// ForgetNode drops a node.
+func (in *Intake) ForgetNode(b control.Backend) { delete(in.nodes, b) }
+
+// Stretch is how much longer than a period gateways may be asked to wait between reports: what comes then is what can be
+// taken.
+func (in *Intake) Stretch() int {
+	switch {
+	case in.part < 0.15:
+		return 4
+	case in.part < 0.4:
+		return 2
+	}
+	return 1
+}
+
+// Stats returns the counts.
+func (in *Intake) Stats() Stats { return in.stats }
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,218 @@
+package intake
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"porthub/control"
+)
+
+const second control.Micros = 1_000_000
+
+// fleet has gateways that each meet some nodes; what they met is drawn anew each round.
+type fleet struct {
+	rng   *rand.Rand
+	names []string
+	nodes []control.Backend
+	mean  []float64 // tries of a gateway at a node
+}
+
+func newFleet(gateways, nodes int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(7, 7))}
+	for i := range gateways {
+		f.names = append(f.names, fmt.Sprintf("gw-%d", i))
+	}
+	for i := range nodes {
+		f.nodes = append(f.nodes, control.Backend(fmt.Sprintf("n%d", i)))
+		f.mean = append(f.mean, 1+3*f.rng.Float64())
+	}
+	return f
+}
+
+// round offers a round of reports and returns what each node really had.
+func (f *fleet) round(in *Intake, now control.Micros, each int, errs func(g, n int) float64) (truth map[control.Backend]float64, taken int) {
+	truth = map[control.Backend]float64{}
+	for g, name := range f.names {
+		lines := make([]Line, 0, each)
+		arrived := 0
+		for k := range each {
+			n := (g*7 + k*k + k) % len(f.nodes)
+			tries := int(f.mean[n]*2*f.rng.Float64()) + 1
+			l := Line{Node: f.nodes[n], Tries: tries}
+			if errs != nil && f.rng.Float64() < errs(g, n) {
+				l.Errored = tries
+			}
+			lines = append(lines, l)
+			arrived += tries
+			truth[l.Node] += float64(tries)
+		}
+		v := in.Offer(now, name, len(lines), arrived, second)
+		for _, l := range lines {
+			if _, ok := in.Take(v, l); ok {
+				taken++
+			}
+		}
+	}
+	return truth, taken
+}
+
+// Under the bound everything is taken as it is.
+func TestCalm(t *testing.T) {
+	f, in := newFleet(50, 20), New(Settings{Lines: 10000, Period: second})
+	for r := range 5 {
+		now := control.Micros(r+1) * second
+		truth, taken := f.round(in, now, 10, nil)
+		in.Close(now + second)
+		if taken != 500 {
+			t.Errorf("%d of 500 taken", taken)
+		}
+		for b, want := range truth {
+			if got, _ := in.View(now+second, b); math.Abs(got.Tries-want) > 1e-6 || got.TriesError != 0 {
+				t.Errorf("%s: %+v, want %v", b, got, want)
+			}
+		}
+	}
+}
+
+// At eight times the bound: what is taken keeps to it, the figures are right on average, and within their stated error in
+// nineteen of twenty cases.
+func TestSampledWithinItsError(t *testing.T) {
+	f, in := newFleet(2000, 100), New(Settings{Lines: 2500, Period: second, Seed: 3})
+	cases, within, bias, most := 0, 0, 0.0, 0
+	for r := range 60 {
+		now := control.Micros(r+1) * second
+		truth, taken := f.round(in, now, 10, nil)
+		in.Close(now + second)
+		if r < 3 {
+			continue // the part is being found
+		}
+		most = max(most, taken)
+		for b, want := range truth {
+			got, known := in.View(now+second, b)
+			if !known || got.At != now+second {
+				continue // nobody who met it was heard in this round
+			}
+			cases++
+			if math.Abs(got.Tries-want) <= got.TriesError {
+				within++
+			}
+			bias += (got.Tries - want) / want
+		}
+	}
+	share := float64(within) / float64(cases)
+	t.Logf("%d cases, %.3f within the stated error, bias %.4f, at most %d lines of 20000 taken", cases, share, bias/float64(cases), most)
+	if share < 0.93 || math.Abs(bias/float64(cases)) > 0.02 || most > 2500 {
+		t.Error("that is not what is stated")
+	}
+}
+
+// News is taken whatever else is shed: each error of a failing node arrives, in the round in which it fails.
+func TestNewsFirst(t *testing.T) {
+	f, in := newFleet(1000, 100), New(Settings{Lines: 1500, Period: second})
+	for r := range 10 {
+		now := control.Micros(r+1) * second
+		failing := func(g, n int) float64 {
+			if n == 13 && r >= 6 {
+				return 1
+			}
+			return 0
+		}
+		truth, _ := f.round(in, now, 10, failing)
+		in.Close(now + second)
+		got, _ := in.View(now+second, "n13")
+		if r >= 6 && math.Abs(got.Errored-truth["n13"]) > 1e-6 {
+			t.Errorf("round %d: %v errored of %v", r, got.Errored, truth["n13"])
+		}
+	}
+	if s := in.Stats(); s.News == 0 || s.Part >= 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Every gateway is heard at least once in 1/p rounds, however its name counts.
+func TestNobodyIsForgotten(t *testing.T) {
+	f, in := newFleet(1000, 50), New(Settings{Lines: 1200, Period: second})
+	last, longest := map[string]int{}, 0
+	for r := range 80 {
+		now := control.Micros(r+1) * second
+		for _, name := range f.names {
+			if v := in.Offer(now, name, 10, 10, second); v.Calm {
+				if at, heard := last[name]; heard && r > 10 {
+					longest = max(longest, r-at)
+				}
+				last[name] = r
+			}
+		}
+		in.Close(now + second)
+	}
+	if len(last) != 1000 || longest > 16 || longest < 5 {
+		t.Errorf("%d of 1000 heard, not heard for %d rounds at most, part %.3f", len(last), longest, in.Stats().Part)
+	}
+}
+
+// One that suddenly claims a thousand times its traffic is believed for a part of it, until it has said so three times.
+func TestThousandfoldClaim(t *testing.T) {
+	f, in := newFleet(20, 5), New(Settings{Lines: 10000, Period: second})
+	now := second
+	for range 5 {
+		f.round(in, now, 3, nil)
+		now += second
+		in.Close(now)
+	}
+	for i, want := range []bool{true, true, true, false} {
+		v := in.Offer(now, "gw-3", 3, 9000, second)
+		if (v.Part < 0.2) != want {
+			t.Errorf("claim %d: %.3f of it is believed", i+1, v.Part)
+		}
+		now += second
+		in.Close(now)
+	}
+	if v := in.Offer(now, "new", 3, 40, second); v.Part != 1 {
+		t.Errorf("one that has just come is not believed: %v", v.Part)
+	}
+}
+
+// Reports that stop: the view ages and its error grows, and the gateways are named.
+func TestSilence(t *testing.T) {
+	f, in := newFleet(10, 5), New(Settings{Lines: 10000, Period: second})
+	f.round(in, second, 3, nil)
+	in.Loaded("n1", 0.5)
+	in.Close(2 * second)
+	fresh, _ := in.View(2*second, "n1")
+	old, known := in.View(12*second, "n1")
+	if !known || old.TriesError <= fresh.TriesError || old.UtilError <= fresh.UtilError || fresh.Util != 0.5 {
+		t.Errorf("%+v after ten seconds, %+v before", old, fresh)
+	}
+	in.Offer(10*second, "gw-2", 0, 0, second)
+	if s := in.Silent(12*second, 5*second); len(s) != 9 {
+		t.Errorf("silent: %v", s)
+	}
+	in.Forget("gw-1")
+	if s := in.Silent(12*second, 5*second); len(s) != 8 {
+		t.Errorf("forgotten, and still named: %v", s)
+	}
+}
+
+// A storm comes at once and goes: the part falls within a round and comes back, and gateways are asked to wait meanwhile.
+func TestStorm(t *testing.T) {
+	f, in := newFleet(2000, 50), New(Settings{Lines: 2000, Period: second})
+	calm := newFleet(100, 50)
+	now := second
+	for r := range 40 {
+		if r >= 5 && r < 10 {
+			f.round(in, now, 10, nil)
+			if r > 6 && (in.Stats().Part > 0.12 || in.Stretch() < 4) {
+				t.Errorf("round %d: part %.3f, stretch %d", r, in.Stats().Part, in.Stretch())
+			}
+		} else {
+			calm.round(in, now, 10, nil)
+		}
+		now += second
+		in.Close(now)
+	}
+	if s := in.Stats(); s.Part != 1 || in.Stretch() != 1 || s.Sampled == 0 {
+		t.Errorf("it does not come back: %+v", s)
+	}
+}
--- a/standin/client.go
+++ b/standin/client.go
@@ -144,6 +144,13 @@
 	return out
 }
 
+// Took adds an answer's time alone.
+func (t *Tally) Took(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.answers.RecordValue(max(1, d.Microseconds()))
+}
+
 // Answers are the times of what was answered, in microseconds, retries included.
 func (t *Tally) Answers() *hdrhistogram.Histogram {
 	t.mu.Lock()
