Membership: what left while its registry had forgotten it is let go once it remembers the rest

Change: holds end as soon as the source names most of what it had forgotten. The stand-in tells the audit before it answers, not after.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -245,7 +245,7 @@
 	}
 	s.failed, s.at = "", m.now
 	claims := m.sound(a)
-	restarted := m.restarted(s, claims)
+	restarted, back := m.restarted(s, claims), 0
 	for _, b := range slices.Sorted(maps.Keys(claims)) {
 		c := claims[b]
 		n := m.node(b)
@@ -261,10 +261,14 @@
 			}
 		}
 		n.said[a.Source], n.at[a.Source] = c, m.now
+		if n.forgot[a.Source] {
+			back++
+		}
 		delete(n.dropped, a.Source)
 		delete(n.forgot, a.Source)
 	}
 	m.drop(a.Source, s, claims)
+	m.remembered(a.Source, claims, back)
 	s.claims, s.has = claims, true
 }
 
@@ -371,6 +375,26 @@
 	}
 }
 
+// remembered ends the holding of what a source has forgotten once it names most of it again: what it still does not name
+// left meanwhile. Without it a node that drained and went while its registry answered by halves kept its lines as long as
+// it answered.
+func (m *Membership) remembered(name string, claims map[control.Backend]Claim, back int) {
+	var still []*node
+	for _, b := range slices.Sorted(maps.Keys(m.nodes)) {
+		if n := m.nodes[b]; n.forgot[name] {
+			still = append(still, n)
+		}
+	}
+	if back == 0 || len(still) == 0 || len(still) >= forgotLeast && float64(len(still)) >= forgotPart*float64(len(claims)+len(still)) {
+		return
+	}
+	m.note("%s names %d nodes again that it had forgotten; %d that it does not name have left", name, back, len(still))
+	for _, n := range still {
+		delete(n.forgot, name)
+		delete(n.said, name)
+	}
+}
+
 // serves tells whether a node has answered a gateway of late and does not fail since.
 func (m *Membership) serves(n *node) bool {
 	return n != nil && n.served > 0 && m.now-n.served <= servesFor && !n.failing
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -176,6 +176,20 @@
 	f.lists("a1+")
 }
 
+// What left while its registry had forgotten half is let go as soon as the registry names the others again, though it still
+// answers.
+func TestLeftWhileForgotten(t *testing.T) {
+	s := newSite(t)
+	s.says("eureka", six...)
+	s.pass(5, sixNodes...)
+	s.says("eureka", "a1+", "a2+", "b3+")
+	s.pass(3, sixNodes...)
+	s.lists(six...)
+	s.says("eureka", "a1+", "a2+", "a3+", "b2+", "b3+") // b1 was taken out meanwhile
+	s.lists("a1+", "a2+", "a3+", "b2+", "b3+")
+	s.is(map[control.Backend]string{"b1": "gone"})
+}
+
 // By and by: two nodes an answer are forgotten too.
 func TestForgottenByAndBy(t *testing.T) {
 	s := newSite(t)
--- a/standin/eureka/eureka.go
+++ b/standin/eureka/eureka.go
@@ -180,14 +180,14 @@
 	switch {
 	case req.Method == http.MethodGet && path == "apps":
 		insts, rev := p.view(f)
+		p.good(f, rev) // before: what is done by the answer must not come before its being told
 		p.answer(w, req, f, insts, "", true)
-		p.good(f, rev)
 	case req.Method == http.MethodGet && path == "apps/delta":
 		insts, rev := p.view(f)
-		p.answer(w, req, f, insts, p.deltas(f, since), true)
 		if !f.StaleDelta {
 			p.good(f, rev)
 		}
+		p.answer(w, req, f, insts, p.deltas(f, since), true)
 	case req.Method == http.MethodGet && len(parts) == 2 && (parts[0] == "apps" || parts[0] == "vips"):
 		var of []Inst
 		insts, _ := p.view(f)
