A stale delta brings nobody back: what has left returns only by a newer stamp

Cause: apps__hashcode counts statuses alone; a delta that stood still put restarted nodes back as they were, with the hash right: warm in the tables, cold in truth, 4.5 s before the registry said so.

Change: Holding keeps the last stamp of what has left; an older or equal one in a delta is passed over, and the whole is asked for.

--- a/registry/eureka/bodies.go
+++ b/registry/eureka/bodies.go
@@ -274,16 +274,27 @@
 // Holding is what is known of a registry: the last whole answer with the deltas since.
 type Holding struct {
 	instances map[string]Instance // by app and id
+	gone      map[string]int64    // what has left, with the last stamp that it had
 	whole     bool
 }
 
+// stamp is when an instance was changed last, as far as the registry says.
+func (i Instance) stamp() int64 { return max(i.Dirty, i.Updated, i.Registered, i.ServiceUp) }
+
 func key(i Instance) string { return i.App + "/" + i.ID }
 
 // Whole takes a whole answer.
 func (h *Holding) Whole(a Applications) {
+	before := h.instances
 	h.instances, h.whole = map[string]Instance{}, true
 	for _, i := range a.Instances {
 		h.instances[key(i)] = i
+		delete(h.gone, key(i))
+	}
+	for k, i := range before {
+		if _, still := h.instances[k]; !still {
+			h.left(k, i.stamp())
+		}
 	}
 }
 
@@ -293,11 +304,16 @@
 	if !h.whole {
 		return false
 	}
+	// The hash counts statuses and no more: a delta that stands still may bring back an instance that has left, as it was,
+	// while another one has come, and the hash is right. So what is no newer than when it left does not come back.
 	next := maps.Clone(h.instances)
 	for _, i := range a.Instances {
 		if old, has := next[key(i)]; has && old.Dirty > i.Dirty && i.Action != "DELETED" {
 			continue // told again: deltas overlap
 		}
+		if at, left := h.gone[key(i)]; left && i.stamp() <= at {
+			continue
+		}
 		if i.Action == "DELETED" {
 			delete(next, key(i))
 		} else {
@@ -309,10 +325,28 @@
 		h.whole = false
 		return false
 	}
+	for k, i := range h.instances {
+		if _, still := next[k]; !still {
+			h.left(k, i.stamp())
+		}
+	}
+	for k := range next {
+		delete(h.gone, k)
+	}
 	h.instances = next
 	return true
 }
 
+// goneMost bounds what is kept of instances that have left.
+const goneMost = 20000
+
+func (h *Holding) left(k string, stamp int64) {
+	if h.gone == nil || len(h.gone) >= goneMost {
+		h.gone = map[string]int64{}
+	}
+	h.gone[k] = stamp
+}
+
 // Instances lists what is known, in the order of apps and ids.
 func (h *Holding) Instances() (out []Instance) {
 	for _, k := range slices.Sorted(maps.Keys(h.instances)) {
--- a/registry/eureka/eureka_test.go
+++ b/registry/eureka/eureka_test.go
@@ -274,3 +274,29 @@
 		t.Error("it stays registered")
 	}
 }
+
+// The hash counts statuses alone: a stale delta that brings an instance back as it was before it left has the right hash once
+// another one has come. It must not: what restarted would pass for warm.
+func TestStaleDeltaBringsNobodyBack(t *testing.T) {
+	inst := func(id string, dirty int64, action string) eureka.Instance {
+		return eureka.Instance{App: "CALC", ID: id, IP: "127.0.0.1", Port: 1, Status: "UP", Dirty: dirty, ServiceUp: dirty, Action: action}
+	}
+	var h eureka.Holding
+	h.Whole(eureka.Applications{Instances: []eureka.Instance{inst("a", 10, ""), inst("b", 10, "")}})
+	h.Whole(eureka.Applications{Instances: []eureka.Instance{inst("b", 10, "")}}) // a has died
+	// It is back, started anew; the delta that would say so stands still and has its first registration.
+	stale := eureka.Applications{Hash: "UP_2_", Instances: []eureka.Instance{inst("a", 10, "ADDED"), inst("b", 10, "ADDED")}}
+	if h.Delta(stale) {
+		t.Fatal("the stale delta is taken")
+	}
+	h.Whole(eureka.Applications{Instances: []eureka.Instance{inst("a", 50, ""), inst("b", 10, "")}})
+	if got := h.Instances(); len(got) != 2 || got[0].ServiceUp != 50 {
+		t.Errorf("%+v", got)
+	}
+	if !h.Delta(eureka.Applications{Hash: "UP_1_", Instances: []eureka.Instance{inst("a", 50, "DELETED")}}) || len(h.Instances()) != 1 {
+		t.Error("a true delta is refused")
+	}
+	if !h.Delta(eureka.Applications{Hash: "UP_2_", Instances: []eureka.Instance{inst("a", 90, "ADDED")}}) || h.Instances()[0].ServiceUp != 90 {
+		t.Error("a true return is refused")
+	}
+}
