--- a/drill/intake.go
+++ b/drill/intake.go
@@ -199,6 +199,10 @@
 		return err
 	}
 	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK { // it is behind: what was known stands
+		_, _ = io.Copy(io.Discard, res.Body)
+		return nil
+	}
 	return json.NewDecoder(res.Body).Decode(into)
 }
 
