One sum of lines on their way a step, not one for each gateway

Cause: whether a message may go out summed all gateways' waiting lines for each gateway that owed one: with thousands of them, as after a restart or a pin, a step grew with their square; gateways were sorted by number each step.

Change: summed once a step and kept up as messages go out; gateways are walked by their numbers.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -69,6 +69,7 @@
 	busy     string // the nodes' own figure that is their busy share
 	reported bool   // a report has been told to the module
 	counts   map[string]*count
+	onWay    float64 // lines on their way to all gateways, in this carrying out; below 0: not summed yet
 }
 
 type timer struct {
@@ -291,7 +292,8 @@
 		solved = c.solve()
 		clear(c.made)
 	}
-	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
+	c.onWay = -1
+	for proxy := range control.Proxy(len(c.gateways)) {
 		g := c.byProxy[proxy]
 		reached := all || bound[proxy]
 		for _, t := range g.binds {
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -184,6 +184,9 @@
 	case tables.Applied:
 		return []control.Event{control.Applied{Proxy: g.proxy, Mark: m.Mark}}
 	case tables.Send:
+		if c.onWay >= 0 {
+			c.onWay += float64(m.Lines) + c.set.Up.Channel.Envelope
+		}
 		c.out(Publish{Gateway: g.name, Version: m.Version, Nonce: m.Version, Snapshot: s, Changed: m.Changed, Sync: c.synced()})
 	}
 	return nil
--- a/coordinator/solving.go
+++ b/coordinator/solving.go
@@ -174,7 +174,7 @@
 		f.Nodes = append(f.Nodes, n)
 	}
 	users := map[control.Table]int{}
-	for _, proxy := range slices.Sorted(maps.Keys(c.byProxy)) {
+	for proxy := range control.Proxy(len(c.gateways)) {
 		g := c.byProxy[proxy]
 		if !g.joined || !g.bound() {
 			continue
@@ -275,13 +275,15 @@
 	if r.MessageCap > 0 && g.ledger.Used(c.now) >= r.MessageCap/2 {
 		return false
 	}
-	lines := 0.0
-	for _, other := range c.gateways {
-		for _, m := range other.ledger.Waiting() {
-			lines += float64(m.Lines) + c.set.Up.Channel.Envelope
+	if c.onWay < 0 { // once for all gateways: summed for each it took most of a step with thousands of them
+		c.onWay = 0
+		for proxy := range control.Proxy(len(c.gateways)) {
+			for _, m := range c.byProxy[proxy].ledger.Waiting() {
+				c.onWay += float64(m.Lines) + c.set.Up.Channel.Envelope
+			}
 		}
 	}
-	return lines < r.QueueCap/4
+	return c.onWay < r.QueueCap/4
 }
 
 // SolverStatus is how the solver stands.
