--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -66,6 +66,7 @@
 			if old := c.list.entries[b]; !seen[b] && old.Status != control.Gone {
 				old.Status = control.Gone
 				c.list.entries[b] = old
+				c.intake.ForgetNode(b)
 			}
 		}
 	}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -22,6 +22,7 @@
 	"porthub/coordinator"
 	"porthub/front/http1"
 	"porthub/front/poll"
+	"porthub/intake"
 	"porthub/xds"
 )
 
@@ -291,7 +292,7 @@
 			return
 		}
 		// A gateway whose last report is young waits while the core is behind: the others' come first.
-		if behind := len(s.d.inbox) > inboxLength/2; behind && time.Since(p.reported) < time.Duration(s.d.cfg.Reports.Period)*time.Microsecond {
+		if intake.Defer(len(s.d.inbox), inboxLength, control.Micros(time.Since(p.reported).Microseconds()), control.Micros(s.d.cfg.Reports.Period)) {
 			s.deferred.Add(1)
 			s.answer(p, http.StatusTooManyRequests, textType, []byte("the core is behind: report later\n"))
 			return
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -287,6 +287,12 @@
 // ForgetNode drops a node.
 func (in *Intake) ForgetNode(b control.Backend) { delete(in.nodes, b) }
 
+// Defer tells whether a gateway's report should come later: while more than half of the room for what waits is used, one whose
+// last report is younger than a period lets the others go first.
+func Defer(waiting, room int, since, period control.Micros) bool {
+	return waiting > room/2 && since < period
+}
+
 // Stretch is how much longer than a period gateways may be asked to wait between reports: what comes then is what can be
 // taken.
 func (in *Intake) Stretch() int {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -216,3 +216,16 @@
 		t.Errorf("it does not come back: %+v", s)
 	}
 }
+
+// Only while the room is half used, and only one that has just reported, is told to come later.
+func TestDefer(t *testing.T) {
+	for _, c := range []struct {
+		waiting int
+		since   control.Micros
+		want    bool
+	}{{10, 0, false}, {60, 0, true}, {60, second, false}, {50, 0, false}} {
+		if got := Defer(c.waiting, 100, c.since, second); got != c.want {
+			t.Errorf("%+v: %t", c, got)
+		}
+	}
+}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -420,3 +420,16 @@
 		t.Logf("%d lists in ten minutes, 60 without damping", n)
 	}
 }
+
+// A registry that preserves itself keeps a dead node up: by its own clock the lease is long overdue, and nobody has an answer.
+func TestOverdueLease(t *testing.T) {
+	s := newSite(t)
+	dead, well := claim("a1+"), claim("a2+")
+	dead.Lease, well.Lease, dead.Renewed, well.Renewed = 90*second, 90*second, 100*second, 300*second
+	s.m.Take(s.now, Answer{Source: "eureka", Claims: []Claim{dead, well}})
+	s.step()
+	s.lists("a2+")
+	s.m.Served(s.now, "a1", 3, 0) // it answers after all
+	s.step()
+	s.lists("a1+", "a2+")
+}
--- a/standin/eureka/eureka.go
+++ b/standin/eureka/eureka.go
@@ -395,21 +395,6 @@
 	}
 }
 
-// RenewAll renews every lease but those named.
-func (r *Registry) RenewAll(but ...string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-next:
-	for _, i := range r.insts {
-		for _, id := range but {
-			if i.ID == id {
-				continue next
-			}
-		}
-		i.Seen = r.now()
-	}
-}
-
 // Forget drops all changes from deltas, as if they were long ago.
 func (r *Registry) Forget() {
 	r.mu.Lock()
