Versions hold the solver's tables; routes by deltas; overtaken checksums prove nothing

Change: a table's version has what acts in its place by kind, also in pins over a restart and in tables show|diff. DeltaRoutes with a RouteConfiguration for each kind. Gateways state the versions that a checksum is of. What is published again is told as a delta of nothing.

The cause of the wrong checksum is caused in a test.

--- a/client/poller.go
+++ b/client/poller.go
@@ -24,12 +24,14 @@
 	addr  string
 	kinds []string
 	http  [2]*http.Client
-	// Deltas asks for endpoints line by line; else whole documents come.
+	// Deltas asks for endpoints line by line and for routes one by one; else whole documents come.
 	Deltas bool
-	held   tables.Snapshot // by deltas
-	nonce  string          // of the last delta that was taken
-	fresh  bool            // what is held must be stated: the coordinator does not know it
 	hold   time.Duration
+
+	// What is held by deltas, by document; each is touched by its goroutine alone.
+	held  [tables.Docs]tables.Snapshot
+	nonce [tables.Docs]string // of the last delta that was taken
+	fresh [tables.Docs]bool   // what is held must be stated: the coordinator does not know it
 }
 
 // NewPoller polls for a gateway's tables, of the request kinds given; each poll is held for so long at most.
@@ -38,7 +40,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	p := &Poller{node: o.Node, addr: o.Coordinator, kinds: kinds, Deltas: true, hold: hold, fresh: true}
+	p := &Poller{node: o.Node, addr: o.Coordinator, kinds: kinds, Deltas: true, hold: hold, fresh: [tables.Docs]bool{true, true}}
 	p.node.Polls, p.node.Hold = true, hold
 	for i := range p.http {
 		p.http[i] = &http.Client{Timeout: hold + 10*time.Second, Transport: &http.Transport{DialContext: dial, MaxConnsPerHost: 1,
@@ -77,39 +79,39 @@
 
 func (p *Poller) poll(ctx context.Context, routes bool, held Held) (u Update, news bool, err error) {
 	began := time.Now()
-	h := p.http[0]
-	var m proto.Message
-	path := xds.EndpointPath
-	delta := false
-	switch {
-	case routes:
-		h, path = p.http[1], xds.RoutePath
-		m = xds.Acknowledge(p.node, xds.RouteType, held.RoutesFrom, "", "")
-	case p.Deltas:
-		delta, path = true, xds.DeltaPath
-		d := &discoveryv3.DeltaDiscoveryRequest{Node: xds.Acknowledge(p.node, "", "", "", "").Node, TypeUrl: xds.LineType}
-		if p.fresh {
-			d.InitialResourceVersions = xds.LineVersions(p.held)
+	doc, path, kind, version := 0, xds.EndpointPath, xds.EndpointType, held.EndpointsFrom
+	if routes {
+		doc, path, kind, version = 1, xds.RoutePath, xds.RouteType, held.RoutesFrom
+	}
+	var m proto.Message = xds.Acknowledge(p.node, kind, version, "", "")
+	if p.Deltas {
+		d := &discoveryv3.DeltaDiscoveryRequest{Node: xds.Acknowledge(p.node, "", "", "", "").Node, TypeUrl: xds.LineType, ResponseNonce: p.nonce[doc]}
+		if path = xds.DeltaPath; routes {
+			path, d.TypeUrl = xds.RouteDeltaPath, xds.RouteType
+		}
+		if p.fresh[doc] {
+			d.ResponseNonce = "" // an earlier coordinator's says nothing, and what is held is stated in full
+			d.InitialResourceVersions = xds.LineVersions(p.held[doc])
+			if routes {
+				d.InitialResourceVersions = xds.RouteVersions(p.held[doc])
+			}
 		}
-		d.ResponseNonce = p.nonce
 		m = d
-	default:
-		m = xds.Acknowledge(p.node, xds.EndpointType, held.EndpointsFrom, "", "")
 	}
-	body, code, err := post(ctx, h, p.addr, path, m)
+	body, code, err := post(ctx, p.http[doc], p.addr, path, m)
 	switch {
 	case err != nil:
 		return u, false, err
 	case code == http.StatusNotModified:
 		return u, false, nil
-	case code == http.StatusConflict && delta && !p.fresh:
-		p.fresh = true // it does not know what we hold: say so, line by line
+	case code == http.StatusConflict && p.Deltas && !p.fresh[doc]:
+		p.fresh[doc] = true // it does not know what we hold: say so, one by one
 		return u, false, nil
 	case code != http.StatusOK:
 		return u, false, fmt.Errorf("%w: %d: %s", ErrRefused, code, bytes.TrimSpace(body))
 	}
 	u = Update{File: path, Written: began, Bytes: len(body)}
-	if !delta {
+	if !p.Deltas {
 		u.Doc, u.Err = xds.Read(body)
 		u.Written, u.Took = time.Now(), time.Since(began)
 		return u, true, nil
@@ -118,13 +120,18 @@
 	if err := xds.Decode(body, d); err != nil {
 		return u, false, err
 	}
-	clusters, err := xds.ApplyDelta(p.kinds, p.held, d)
+	next := p.held[doc]
+	if routes {
+		next.Routes, err = xds.ApplyRouteDelta(p.kinds, next.Routes, d)
+	} else {
+		next.Clusters, err = xds.ApplyDelta(p.kinds, next, d)
+	}
 	if err != nil {
-		p.fresh = true
+		p.fresh[doc] = true
 		return u, false, err
 	}
-	p.held.Clusters, p.nonce, p.fresh = clusters, d.Nonce, false
-	u.Doc = xds.Document{Type: xds.EndpointType, Version: d.SystemVersionInfo, Nonce: d.Nonce, Clusters: clusters}
+	p.held[doc], p.nonce[doc], p.fresh[doc] = next, d.Nonce, false
+	u.Doc = xds.Document{Type: kind, Version: d.SystemVersionInfo, Nonce: d.Nonce, Clusters: next.Clusters, Routes: next.Routes}
 	u.Written = time.Now()
 	return u, true, nil
 }
--- a/cmd/porthub/versions.go
+++ b/cmd/porthub/versions.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -122,6 +124,12 @@
 			for _, l := range of.Lines {
 				fmt.Fprintf(w, "%s\t%.4g\n", l.Backend, l.Weight)
 			}
+			for _, kind := range slices.Sorted(maps.Keys(of.Acting)) {
+				fmt.Fprintf(w, "for %s the weight solver had in its place\n", kind)
+				for _, l := range of.Acting[kind] {
+					fmt.Fprintf(w, "%s\t%.4g\n", l.Backend, l.Weight)
+				}
+			}
 			return w.Flush()
 		}}
 	diff := &cobra.Command{Use: "diff", Short: "Show what changed between two versions of a table", Args: cobra.NoArgs,
@@ -139,17 +147,16 @@
 			if err != nil {
 				return err
 			}
-			before, out := weights(a), cmd.OutOrStdout()
-			d := tables.Diff(tables.State{}.With(before), tables.State{}.With(weights(b)))
-			for _, l := range d.Set {
-				if old, had := before[l.Backend]; had {
-					fmt.Fprintf(out, "~ %s %.4g -> %.4g\n", l.Backend, old, l.Weight)
-				} else {
-					fmt.Fprintf(out, "+ %s %.4g\n", l.Backend, l.Weight)
-				}
+			out := cmd.OutOrStdout()
+			printDiff(out, a.Lines, b.Lines)
+			kinds := maps.Clone(a.Acting)
+			if kinds == nil {
+				kinds = map[string][]tables.Weighed{}
 			}
-			for _, be := range d.Gone {
-				fmt.Fprintf(out, "- %s %.4g\n", be, before[be])
+			maps.Copy(kinds, b.Acting)
+			for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+				fmt.Fprintf(out, "for %s, what gateways were to hold by the weight solver\n", kind)
+				printDiff(out, of(a, kind), of(b, kind))
 			}
 			return nil
 		}}
@@ -232,9 +239,32 @@
 	return []*cobra.Command{list, show, diff, pin, rollback, unpin}
 }
 
-func weights(v daemon.VersionOf) tables.Weights {
+// of is what a version had for a kind.
+func of(v daemon.VersionOf, kind string) []tables.Weighed {
+	if lines, acts := v.Acting[kind]; acts {
+		return lines
+	}
+	return v.Lines
+}
+
+func printDiff(out io.Writer, from, to []tables.Weighed) {
+	before := weights(from)
+	d := tables.Diff(tables.State{}.With(before), tables.State{}.With(weights(to)))
+	for _, l := range d.Set {
+		if old, had := before[l.Backend]; had {
+			fmt.Fprintf(out, "~ %s %.4g -> %.4g\n", l.Backend, old, l.Weight)
+		} else {
+			fmt.Fprintf(out, "+ %s %.4g\n", l.Backend, l.Weight)
+		}
+	}
+	for _, be := range d.Gone {
+		fmt.Fprintf(out, "- %s %.4g\n", be, before[be])
+	}
+}
+
+func weights(lines []tables.Weighed) tables.Weights {
 	w := tables.Weights{}
-	for _, l := range v.Lines {
+	for _, l := range lines {
 		w[l.Backend] = l.Weight
 	}
 	return w
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -270,11 +270,6 @@
 			mark, all = o.Mark, all || o.All
 		}
 	}
-	for _, t := range slices.Sorted(maps.Keys(touched)) {
-		if len(c.lines[t]) > 0 {
-			c.book.Put(c.now, t, c.lines[t])
-		}
-	}
 	clear(c.made)
 	var events []control.Event
 	var solved map[control.Table]bool
@@ -283,6 +278,11 @@
 		solved = c.solve()
 		clear(c.made)
 	}
+	for _, t := range slices.Sorted(maps.Keys(union(touched, solved))) {
+		if len(c.lines[t]) > 0 {
+			c.book.Put(c.now, t, c.lines[t], c.actingOf(t))
+		}
+	}
 	c.onWay = -1
 	for proxy := range control.Proxy(len(c.gateways)) {
 		g := c.byProxy[proxy]
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -553,3 +553,80 @@
 		t.Errorf("sent %d times in 20 s to one that never holds it", n)
 	}
 }
+
+// A word about what is held that is overtaken by a later one on another connection is of an earlier state: it voids nothing.
+func TestOvertakenChecksum(t *testing.T) {
+	h := newHost(t, nil)
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	g := h.core.gateways["g1"]
+	before := h.sent["g1"]
+	say := func(held [docs]string) {
+		h.tell(Ack{Gateway: "g1", Conn: h.conns["g1"], Version: g.ledger.Confirmed(int(Endpoints)).Version, Checksum: 12345, Held: held})
+	}
+	if say([docs]string{g.ledger.Confirmed(int(Endpoints)).Version, "e.0"}); h.notes["wrong_checksum"] != 0 || h.sent["g1"] != before {
+		t.Errorf("overtaken: %v", h.notes)
+	}
+	if say([docs]string{g.ledger.Confirmed(int(Endpoints)).Version, g.ledger.Confirmed(int(Routes)).Version}); h.notes["wrong_checksum"] != 1 {
+		t.Errorf("of what it holds now: %v", h.notes)
+	}
+}
+
+// What the weight solver has in place of the module's tables has versions too: a pin made while it acts holds what it had.
+func TestPinHoldsTheSolversTables(t *testing.T) {
+	h := newHost(t, func(s *Settings) { s.Up.Proxies = 2 })
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	failing := true
+	pass := func(seconds int) {
+		for range seconds {
+			h.now += second
+			var in []Input
+			for _, g := range []Gateway{"g1", "g2"} {
+				r := h.report(g)
+				for k := range r.Kinds {
+					for e := range r.Kinds[k].Endpoints {
+						if one := &r.Kinds[k].Endpoints[e]; failing && r.Kinds[k].Kind == "save" && one.Backend == "a1:1" {
+							one.Tries, one.Errored = 8, 8
+						}
+					}
+				}
+				in = append(in, r)
+			}
+			h.tell(in...)
+		}
+	}
+	pass(12)
+	if slices.Contains(h.open("g1", "save"), "a1:1") || !slices.Contains(h.open("g1", "view"), "a1:1") {
+		t.Fatalf("the solver does not act: save by %v", h.open("g1", "save"))
+	}
+	table := h.core.gateways["g1"].binds[1]
+	versions := h.core.Book().Versions(table)
+	last := versions[len(versions)-1]
+	if _, has := last.Of(1).Weights()["a1:1"]; has || last.Of(0).Weights()["a1:1"] == 0 {
+		t.Errorf("the last version has for save %v", last.Of(1).Weights())
+	}
+	pin, err := h.core.Pin(tables.Pin{Scope: tables.Scope{Table: tables.Anything}, Reason: "it is known to fail"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	weights := func() (w [3]float64) {
+		for i, b := range []control.Backend{"a2:1", "b1:1", "b2:1"} {
+			w[i] = h.weight("g1", "save", b)
+		}
+		return w
+	}
+	before := weights()
+	h.restart(second, "g1", "g2") // the pin survives with what it holds
+	failing = false
+	if pass(20); weights() != before || h.weight("g1", "save", "a1:1") > 0 {
+		t.Errorf("pinned at %v, and save goes by %v", before, weights())
+	}
+	if _, err := h.core.Unpin(pin.ID, "day"); err != nil {
+		t.Fatal(err)
+	}
+	pass(20)
+	if !slices.Contains(h.open("g1", "save"), "a1:1") {
+		t.Errorf("unpinned, and save goes to %v alone", h.open("g1", "save"))
+	}
+}
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -216,7 +216,7 @@
 		}
 	}
 	if known && g.joined {
-		if want, right := g.ledger.Check(c.now, in.Checksum); !right {
+		if want, right := g.ledger.Check(c.now, in.Checksum, in.Held); !right {
 			c.complain("wrong_checksum", g.name, "it holds %x, not %x: the whole is sent again", in.Checksum, want)
 		}
 	}
--- a/coordinator/io.go
+++ b/coordinator/io.go
@@ -48,6 +48,8 @@
 		Error   string
 		// Checksum is tables.Checksum of all that the gateway holds; 0: it does not say.
 		Checksum uint64
+		// Held are the versions that the checksum is of; empty: it does not say.
+		Held [docs]string
 	}
 	// Report sums what a gateway did in the last interval.
 	Report struct {
--- a/coordinator/recall.go
+++ b/coordinator/recall.go
@@ -32,6 +32,9 @@
 	return s
 }
 
+// KindName is what a request kind is called.
+func (c *Core) KindName(kind control.ReqKind) string { return c.set.Up.Kinds[kind].Name }
+
 func (c *Core) kindNames() (names []string) {
 	for _, k := range c.set.Up.Kinds {
 		names = append(names, k.Name)
--- a/coordinator/recall_test.go
+++ b/coordinator/recall_test.go
@@ -81,7 +81,7 @@
 	h.fleet()
 	h.pass(5*second, "g1", "g2")
 	table := h.core.gateways["g1"].binds[0]
-	h.core.book.Put(h.now, table, tables.Weights{"a1:1": 3, "a2:1": 1})
+	h.core.book.Put(h.now, table, tables.Weights{"a1:1": 3, "a2:1": 1}, nil)
 	if _, err := h.core.Pin(tables.Pin{Scope: tables.Scope{Table: table}, Reason: "a test"}); err != nil {
 		t.Fatal(err)
 	}
--- a/coordinator/solving.go
+++ b/coordinator/solving.go
@@ -130,8 +130,8 @@
 	return changed
 }
 
-func union(a, b map[solver.Key]solver.Table) map[solver.Key]bool {
-	all := map[solver.Key]bool{}
+func union[K comparable, V any](a, b map[K]V) map[K]bool {
+	all := map[K]bool{}
 	for k := range a {
 		all[k] = true
 	}
@@ -244,6 +244,19 @@
 	return weights, t.Admit, true
 }
 
+// actingOf is what acts in the place of a table's weights, by kind; nil: nothing does.
+func (c *Core) actingOf(table control.Table) (by map[control.ReqKind]tables.Weights) {
+	for k := range c.set.Up.Kinds {
+		if w, _, acts := c.acting(table, k); acts {
+			if by == nil {
+				by = map[control.ReqKind]tables.Weights{}
+			}
+			by[control.ReqKind(k)] = w
+		}
+	}
+	return by
+}
+
 // cap is the rate that the solver's admission comes to at a gateway. It stays while it is near what is right.
 func (g *gateway) cap(kind int, admit float64, base tables.Route) float64 {
 	if g.caps == nil {
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -56,7 +56,7 @@
 	if len(c.book.Pins()) == 0 {
 		return w
 	}
-	held, pin, overruled := c.book.InForce(table, g.zone, w, func(b control.Backend) tables.Standing {
+	held, pin, overruled := c.book.InForce(table, control.ReqKind(kind), g.zone, w, func(b control.Backend) tables.Standing {
 		return c.standing(b, kind, w)
 	})
 	if overruled != "" {
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -32,6 +32,8 @@
 	Version tables.Version   `json:"version"`
 	At      control.Micros   `json:"at_us"`
 	Lines   []tables.Weighed `json:"lines"`
+	// Acting is what the weight solver had in their place, by request kind.
+	Acting map[string][]tables.Weighed `json:"acting,omitempty"`
 }
 
 // PinRequest is the body of POST /tables/pin. Of version and ago_us at most one is set; neither holds what is in force.
@@ -146,8 +148,13 @@
 	for _, t := range c.Book().Tables() {
 		one := TableVersions{Table: t, Zone: zones[t], Gateways: users[t]}
 		for _, e := range c.Book().Versions(t) {
-			of := VersionOf{Version: e.Version, At: e.At}
-			of.Lines = tables.Diff(tables.State{}, e.State).Set
+			of := VersionOf{Version: e.Version, At: e.At, Lines: e.State.Lines()}
+			for kind, s := range e.Acting {
+				if of.Acting == nil {
+					of.Acting = map[string][]tables.Weighed{}
+				}
+				of.Acting[c.KindName(kind)] = s.Lines()
+			}
 			one.Versions = append(one.Versions, of)
 		}
 		v.Tables = append(v.Tables, one)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -269,7 +269,7 @@
 			doc = coordinator.Routes
 		}
 		ack := coordinator.Ack{Gateway: coordinator.Gateway(node.Name), Doc: doc, Version: m.VersionInfo,
-			Nonce: m.ResponseNonce, Error: m.ErrorDetail.GetMessage(), Checksum: node.Checksum}
+			Nonce: m.ResponseNonce, Error: m.ErrorDetail.GetMessage(), Checksum: node.Checksum, Held: node.Held}
 		s.hand(p, node, &ack, func([]byte) {
 			if !node.Polls {
 				s.answer(p, http.StatusNotModified, "", nil)
@@ -278,7 +278,9 @@
 			s.hold(p, req, poll.Request{Gateway: ack.Gateway, Doc: doc, Version: m.VersionInfo, Hold: node.Hold})
 		}, fail)
 	case req.Method == http.MethodPost && req.URL.Path == xds.DeltaPath:
-		s.delta(p, req, read, fail)
+		s.delta(p, req, coordinator.Endpoints, xds.LineType, read, fail)
+	case req.Method == http.MethodPost && req.URL.Path == xds.RouteDeltaPath:
+		s.delta(p, req, coordinator.Routes, xds.RouteType, read, fail)
 	case req.Method == http.MethodPost && req.URL.Path == xds.LoadPath:
 		m := &loadv3.LoadStatsRequest{}
 		err := read(m)
@@ -438,26 +440,26 @@
 	p.cancel.Store(&cancel)
 }
 
-// delta takes a poll for endpoints line by line.
-func (s *server) delta(p *peer, req *http.Request, read func(proto.Message) error, fail func(int, string)) {
+// delta takes a poll for endpoints line by line, or routes one by one.
+func (s *server) delta(p *peer, req *http.Request, doc coordinator.Doc, kind string, read func(proto.Message) error, fail func(int, string)) {
 	m := &discoveryv3.DeltaDiscoveryRequest{}
 	err := read(m)
 	var node xds.Node
 	if err == nil {
 		node, err = xds.ReadNode(m.Node)
 	}
-	if err == nil && m.TypeUrl != xds.LineType {
-		err = fmt.Errorf("%w: type_url %q: only %s is told line by line", xds.ErrNotXDS, m.TypeUrl, xds.LineType)
+	if err == nil && m.TypeUrl != kind {
+		err = fmt.Errorf("%w: type_url %q: %s is told here", xds.ErrNotXDS, m.TypeUrl, kind)
 	}
 	if err != nil {
 		fail(http.StatusBadRequest, err.Error())
 		return
 	}
 	node.Polls = true
-	ack := coordinator.Ack{Gateway: coordinator.Gateway(node.Name), Doc: coordinator.Endpoints, Version: m.ResponseNonce, Nonce: m.ResponseNonce,
-		Error: m.ErrorDetail.GetMessage(), Checksum: node.Checksum}
+	ack := coordinator.Ack{Gateway: coordinator.Gateway(node.Name), Doc: doc, Version: m.ResponseNonce, Nonce: m.ResponseNonce,
+		Error: m.ErrorDetail.GetMessage(), Checksum: node.Checksum, Held: node.Held}
 	s.hand(p, node, &ack, func([]byte) {
-		s.hold(p, req, poll.Request{Gateway: ack.Gateway, Doc: coordinator.Endpoints, Hold: node.Hold, Delta: true, Nonce: m.ResponseNonce,
+		s.hold(p, req, poll.Request{Gateway: ack.Gateway, Doc: doc, Hold: node.Hold, Delta: true, Nonce: m.ResponseNonce,
 			Lines: m.InitialResourceVersions})
 	}, fail)
 }
--- a/front/poll/hub.go
+++ b/front/poll/hub.go
@@ -49,6 +49,8 @@
 type standing struct {
 	last    coordinator.Publish
 	version [2]string                // of the last change of each document
+	changed [2]uint64                // which publication that was
+	count   uint64                   // publications
 	past    *list.List               // earlier snapshots by nonce, the newest last
 	byNonce map[string]*list.Element // of past
 	waiters map[*waiter]bool
@@ -56,6 +58,7 @@
 
 type past struct {
 	nonce    string
+	number   uint64
 	snapshot tables.Snapshot
 }
 
@@ -71,8 +74,8 @@
 	Doc     coordinator.Doc
 	Version string        // held; empty: none
 	Hold    time.Duration // at most so long
-	// Delta asks for endpoints line by line: since the publication with this nonce, or beside what Lines names by name
-	// and version.
+	// Delta asks for endpoints line by line, or routes one by one: since the publication with this nonce, or beside what
+	// Lines names by name and version.
 	Delta bool
 	Nonce string
 	Lines map[string]string
@@ -115,13 +118,14 @@
 func (h *Hub) Publish(p coordinator.Publish) {
 	h.mu.Lock()
 	g := h.gateway(p.Gateway)
+	g.count++
 	for d, changed := range p.Changed {
 		if changed {
-			g.version[d] = p.Version
+			g.version[d], g.changed[d] = p.Version, g.count
 		}
 	}
 	g.last = p
-	g.byNonce[p.Nonce] = g.past.PushBack(past{p.Nonce, p.Snapshot})
+	g.byNonce[p.Nonce] = g.past.PushBack(past{p.Nonce, g.count, p.Snapshot})
 	for g.past.Len() > h.keep+1 {
 		e := g.past.Front()
 		delete(g.byNonce, e.Value.(past).nonce)
@@ -140,14 +144,16 @@
 	}
 }
 
-// news tells whether a poll would be told something.
+// news tells whether a poll would be told something. What was published again is told again, as a delta of nothing: the
+// core waits for its acknowledgement. (A gateway that dialled anew and stood on the very same lines was never told, did
+// not acknowledge, and was put out until something changed.)
 func (h *Hub) news(g *standing, r Request) bool {
 	v := g.version[r.Doc]
 	if v == "" || !r.Delta {
 		return v != "" && v != r.Version
 	}
 	e, known := g.byNonce[r.Nonce]
-	return !known || !e.Value.(past).snapshot.SameClusters(g.last.Snapshot)
+	return !known || e.Value.(past).number < g.changed[r.Doc]
 }
 
 // end takes a waiter off.
@@ -239,6 +245,13 @@
 	case r.Delta && base == nil && r.Nonce != "" && r.Lines == nil:
 		r.Answer(nil, ErrBase)
 		return
+	case r.Delta && r.Doc == coordinator.Routes:
+		held := r.Lines
+		if base != nil {
+			held = xds.RouteVersions(*base)
+		}
+		told.Shared, err = xds.ShareRouteDelta(held, to)
+		lines = linesOf(told, err)
 	case r.Delta && base != nil:
 		told.Shared, err = h.same(base.Clusters, to.Clusters, func() (*xds.Shared, error) { return xds.ShareDelta(xds.LineVersions(*base), to) })
 		lines = linesOf(told, err)
--- a/front/poll/hub_test.go
+++ b/front/poll/hub_test.go
@@ -204,3 +204,58 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// What is published again, the same, is told again as a delta of nothing: its acknowledgement is waited for.
+func TestPublishedAgain(t *testing.T) {
+	h := NewHub(10, 3)
+	h.Publish(publication("gw", 1, 1, 2))
+	for n, doc := range []coordinator.Doc{coordinator.Endpoints, coordinator.Routes} {
+		r := Request{Gateway: "gw", Doc: doc, Hold: time.Minute, Delta: true, Nonce: fmt.Sprintf("e.%d", 1+n)}
+		ch, _ := ask(t, h, r)
+		p := publication("gw", 2+n, 1, 2)
+		p.Changed = [2]bool{n == 0, n == 1}
+		h.Publish(p)
+		m, is := get(t, ch).m.(*discoveryv3.DeltaDiscoveryResponse)
+		if !is || len(m.Resources)+len(m.RemovedResources) > 0 || m.Nonce != p.Nonce {
+			t.Errorf("%v: told %v", doc, m)
+		}
+	}
+}
+
+// Routes go one by one: only the kind whose level moved travels, and one that is gone is named.
+func TestRouteDeltas(t *testing.T) {
+	kinds := []string{"view", "save", "old"}
+	publish := func(n int, rates ...float64) coordinator.Publish {
+		p := publication("gw", n, 1)
+		p.Changed, p.Snapshot.Routes = [2]bool{false, true}, nil
+		for i, r := range rates {
+			p.Snapshot.Routes = append(p.Snapshot.Routes, tables.Route{Kind: kinds[i], Rate: r, Share: 1, Timeout: 1e6})
+		}
+		return p
+	}
+	h := NewHub(10, 3)
+	h.Publish(publish(1, 10, tables.Unlimited, 5))
+	var held []tables.Route
+	for n, want := range []struct{ set, gone, hold int }{{3, 0, 3}, {1, 0, 3}, {1, 1, 2}} {
+		r := Request{Gateway: "gw", Doc: coordinator.Routes, Hold: time.Minute, Delta: true}
+		if n > 0 {
+			r.Nonce = fmt.Sprintf("e.%d", n)
+			h.Publish([]coordinator.Publish{{}, publish(2, 20, tables.Unlimited, 5), publish(3, 20, 0)}[n])
+		}
+		ch, _ := ask(t, h, r)
+		m, is := get(t, ch).m.(*discoveryv3.DeltaDiscoveryResponse)
+		if !is || len(m.Resources) != want.set || len(m.RemovedResources) != want.gone {
+			t.Fatalf("step %d: told %v", n, m)
+		}
+		var err error
+		if held, err = xds.ApplyRouteDelta(kinds, held, m); err != nil || len(held) != want.hold {
+			t.Fatalf("step %d: holds %v, %v", n, held, err)
+		}
+	}
+	if held[0].Rate != 20 || held[1].Rate != 0 || held[0].Timeout != 1e6 {
+		t.Errorf("holds %+v", held)
+	}
+	if _, err := xds.ApplyRouteDelta(kinds[:1], nil, &discoveryv3.DeltaDiscoveryResponse{Resources: []*discoveryv3.Resource{{Name: "view"}}}); err == nil {
+		t.Error("a resource of nothing is taken")
+	}
+}
--- a/front/poll/model_test.go
+++ b/front/poll/model_test.go
@@ -59,8 +59,8 @@
 func (m *model) publish() {
 	m.now++
 	m.n++
-	m.book.Put(m.now, 1, m.current)
-	w, _, _ := m.book.InForce(1, "a", m.current, func(b control.Backend) tables.Standing {
+	m.book.Put(m.now, 1, m.current, nil)
+	w, _, _ := m.book.InForce(1, 0, "a", m.current, func(b control.Backend) tables.Standing {
 		return tables.Standing{Closed: m.closed[b], Now: m.current[b]}
 	})
 	c := tables.Build("view", w, func(control.Backend) (control.Zone, bool) { return "a", true },
--- a/tables/book.go
+++ b/tables/book.go
@@ -17,7 +17,30 @@
 type Entry struct {
 	Version Version
 	At      control.Micros // when it came into being
-	State   State
+	State   State          // by the module
+	// Acting is what the weight solver has in its place, by request kind; a kind that is not in it has State.
+	Acting map[control.ReqKind]State
+}
+
+// Of is what the version holds for a kind.
+func (e Entry) Of(kind control.ReqKind) State {
+	if s, acts := e.Acting[kind]; acts {
+		return s
+	}
+	return e.State
+}
+
+// same tells whether two versions hold the same.
+func (e Entry) same(o Entry) bool {
+	if Diff(e.State, o.State).Lines() > 0 || len(e.Acting) != len(o.Acting) {
+		return false
+	}
+	for kind, s := range e.Acting {
+		if t, has := o.Acting[kind]; !has || Diff(s, t).Lines() > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Book keeps the versions of all tables and what operators have pinned. It is pure: time is handed in.
@@ -87,20 +110,26 @@
 	return &Book{keep: max(2, keep), most: most, tables: map[control.Table][]Entry{}, next: map[control.Table]Version{}}
 }
 
-// Put says what a table holds from now on; it is a new version if it is not what it held. Versions that are pinned or
-// that pins of a time need are never let go; of the others the oldest are.
-func (b *Book) Put(now control.Micros, table control.Table, w Weights) Version {
+// Put says what a table holds from now on, and what acts in its place for some kinds; it is a new version if it is not
+// what it held. Versions that are pinned or that pins of a time need are never let go; of the others the oldest are.
+func (b *Book) Put(now control.Micros, table control.Table, w Weights, acting map[control.ReqKind]Weights) Version {
 	entries := b.tables[table]
-	var last State
+	var last Entry
 	if n := len(entries); n > 0 {
-		last = entries[n-1].State
+		last = entries[n-1]
+	}
+	next := Entry{Version: b.next[table] + 1, At: now, State: last.State.With(w)}
+	for kind, weights := range acting {
+		if next.Acting == nil {
+			next.Acting = map[control.ReqKind]State{}
+		}
+		next.Acting[kind] = last.Of(kind).With(weights)
 	}
-	next := last.With(w)
-	if len(entries) > 0 && Diff(last, next).Lines() == 0 {
-		return entries[len(entries)-1].Version
+	if len(entries) > 0 && last.same(next) {
+		return last.Version
 	}
-	b.next[table]++
-	entries = append(entries, Entry{b.next[table], now, next})
+	b.next[table] = next.Version
+	entries = append(entries, next)
 	needed := b.needed(table)
 	for i := 0; i < len(entries)-1; {
 		if old := now-entries[i].At > b.most; (old || len(entries) > b.keep) && !needed[entries[i].Version] {
@@ -207,11 +236,11 @@
 	Cold   bool    // it has at most the weight that it has now, and none if it has none
 }
 
-// InForce is what a table's users are to hold of it: the weights as they are, or those of the narrowest pin with the
+// InForce is what a table's users are to hold of it for a kind: the weights as they are, or those of the narrowest pin with the
 // rules' mask over them. Where nothing of the pinned state is left that the rules allow, the rules win and the
 // weights are as they are; overruled says so. Weights of a pinned state are brought to the scale of now, so that a
 // cold backend's part is no larger than it is now.
-func (b *Book) InForce(table control.Table, zone control.Zone, now Weights,
+func (b *Book) InForce(table control.Table, kind control.ReqKind, zone control.Zone, now Weights,
 	standing func(control.Backend) Standing) (w Weights, pin *Pin, overruled string) {
 	for i := range b.pins {
 		p := &b.pins[i]
@@ -227,7 +256,7 @@
 	if err != nil {
 		return now, pin, fmt.Sprintf("table %d is younger than the pin", table)
 	}
-	w, masked, left := Mask(old.State.Weights(), standing)
+	w, masked, left := Mask(old.Of(kind).Weights(), standing)
 	if !left {
 		return now, pin, fmt.Sprintf("the rules leave no warm line of table %d: it is as the module has it", table)
 	}
@@ -273,6 +302,8 @@
 type Kept struct {
 	Pin   Pin                       `json:"pin"`
 	Holds map[control.Table]Weights `json:"holds"`
+	// Acting is what the weight solver had in their place.
+	Acting map[control.Table]map[control.ReqKind]Weights `json:"acting,omitempty"`
 }
 
 // Keep is what a next start has to know of the pins.
@@ -282,6 +313,16 @@
 		for t, v := range p.held {
 			if e, err := b.Get(t, v); err == nil {
 				k.Holds[t] = e.State.Weights()
+				if len(e.Acting) == 0 {
+					continue
+				}
+				if k.Acting == nil {
+					k.Acting = map[control.Table]map[control.ReqKind]Weights{}
+				}
+				k.Acting[t] = map[control.ReqKind]Weights{}
+				for kind, s := range e.Acting {
+					k.Acting[t][kind] = s.Weights()
+				}
 			}
 		}
 		kept = append(kept, k)
@@ -295,9 +336,7 @@
 		p := k.Pin
 		p.held = map[control.Table]Version{}
 		for _, t := range slices.Sorted(maps.Keys(k.Holds)) {
-			b.next[t]++
-			b.tables[t] = append(b.tables[t], Entry{b.next[t], now, State{}.With(k.Holds[t])})
-			p.held[t] = b.next[t]
+			p.held[t] = b.Put(now, t, k.Holds[t], k.Acting[t])
 		}
 		b.pinned = max(b.pinned, p.ID)
 		b.pins = append(b.pins, p)
--- a/tables/ledger.go
+++ b/tables/ledger.go
@@ -57,7 +57,8 @@
 	void      bool     // belief is void: the whole goes out even if nothing changed
 	waiting   []Message
 	confirmed [Docs]Message
-	count     int // messages in this start
+	changed   [Docs]string // version of the last message with a document in it
+	count     int          // messages in this start
 
 	times   []control.Micros // of messages within the span
 	later   bool             // something had to wait, until laterAt
@@ -137,6 +138,11 @@
 	l.count++
 	m.Version, m.Lines = fmt.Sprintf("%s.%d", l.epoch, l.count), Cost(l.sent, s)
 	l.sent = s
+	for d := range Docs {
+		if m.Changed[d] {
+			l.changed[d] = m.Version
+		}
+	}
 	l.times = append(l.times, now)
 	l.waiting = append(l.waiting, m)
 	return Send, m
@@ -205,9 +211,12 @@
 }
 
 // Check holds what a gateway says it has against what it should have, once nothing is on its way. Where they differ
-// belief is void, and the whole is sent, later each time.
-func (l *Ledger) Check(now control.Micros, sum uint64) (want uint64, right bool) {
-	if sum == 0 || len(l.waiting) > 0 || l.retryAt > 0 || len(l.sent.Clusters) == 0 {
+// belief is void, and the whole is sent, later each time. Of are the versions that the checksum is of, if the gateway
+// says: words that were overtaken on the way are of an earlier state and prove nothing. (A gateway with several
+// connections was taken to hold something else because its last word on the one came after a later word on the other.)
+func (l *Ledger) Check(now control.Micros, sum uint64, of [Docs]string) (want uint64, right bool) {
+	overtaken := of != [Docs]string{} && of != l.changed
+	if sum == 0 || overtaken || len(l.waiting) > 0 || l.retryAt > 0 || len(l.sent.Clusters) == 0 {
 		return sum, true
 	}
 	if want = Checksum(l.sent); sum == want {
--- a/tables/ledger_test.go
+++ b/tables/ledger_test.go
@@ -187,7 +187,7 @@
 	confirm()
 	last := control.Micros(0)
 	for i := range 4 {
-		if _, right := l.Check(now, Checksum(s)+1); right {
+		if _, right := l.Check(now, Checksum(s)+1, [Docs]string{}); right {
 			t.Fatal("a wrong checksum passes")
 		}
 		began := now
@@ -204,7 +204,7 @@
 		}
 		confirm()
 	}
-	if _, right := l.Check(now, Checksum(s)); !right || l.Retry(now+60*second) {
+	if _, right := l.Check(now, Checksum(s), [Docs]string{}); !right || l.Retry(now+60*second) {
 		t.Error("the right one does not pass, or is sent again")
 	}
 	if v, _ := l.Offer(now, s, NoMark, no); v != Nothing {
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -68,14 +68,14 @@
 func TestBookKeepsWhatIsNeeded(t *testing.T) {
 	b := NewBook(4, 100*second)
 	for i := range 10 {
-		b.Put(control.Micros(i)*second, 1, Weights{"a": float64(i + 1)})
+		b.Put(control.Micros(i)*second, 1, Weights{"a": float64(i + 1)}, nil)
 		if i == 2 {
 			if _, err := b.Pin(2*second, Pin{Scope: Scope{Table: 1}, Version: 2, Reason: "night"}); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
-	if v := b.Put(10*second, 1, Weights{"a": 10}); v != 10 {
+	if v := b.Put(10*second, 1, Weights{"a": 10}, nil); v != 10 {
 		t.Errorf("the same again is version %d", v)
 	}
 	if _, err := b.Get(1, 2); err != nil {
@@ -87,7 +87,7 @@
 	if n := len(b.Versions(1)); n > 5 {
 		t.Errorf("%d versions kept", n)
 	}
-	b.Put(1000*second, 1, Weights{"a": 11})
+	b.Put(1000*second, 1, Weights{"a": 11}, nil)
 	if got := b.Versions(1); len(got) != 2 || got[0].Version != 2 {
 		t.Errorf("old ones stay: %v", got)
 	}
@@ -95,9 +95,9 @@
 
 func TestPins(t *testing.T) {
 	b := NewBook(10, 1000*second)
-	b.Put(1*second, 1, Weights{"a": 1, "b": 1})
-	b.Put(5*second, 1, Weights{"c": 1, "d": 2})
-	b.Put(5*second, 2, Weights{"c": 1})
+	b.Put(1*second, 1, Weights{"a": 1, "b": 1}, nil)
+	b.Put(5*second, 1, Weights{"c": 1, "d": 2}, nil)
+	b.Put(5*second, 2, Weights{"c": 1}, nil)
 	now := Weights{"c": 1, "d": 2}
 	open := func(control.Backend) Standing { return Standing{} }
 	for _, c := range []struct {
@@ -118,17 +118,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if w, _, _ := b.InForce(1, "z", now, open); !maps.Equal(w, Weights{"a": 1, "b": 1}) {
+	if w, _, _ := b.InForce(1, 0, "z", now, open); !maps.Equal(w, Weights{"a": 1, "b": 1}) {
 		t.Errorf("pinned, and holds %v", w)
 	}
-	if w, _, over := b.InForce(2, "z", Weights{"c": 1}, open); !maps.Equal(w, Weights{"c": 1}) || over == "" {
+	if w, _, over := b.InForce(2, 0, "z", Weights{"c": 1}, open); !maps.Equal(w, Weights{"c": 1}) || over == "" {
 		t.Errorf("younger than the pin: %v, %q", w, over)
 	}
 	// The narrower pin goes first.
 	if _, err := b.Pin(7*second, Pin{Scope: Scope{Table: 1}, Version: 2, Reason: "this one is fine"}); err != nil {
 		t.Fatal(err)
 	}
-	if w, _, _ := b.InForce(1, "z", Weights{"x": 1}, open); !maps.Equal(w, now) {
+	if w, _, _ := b.InForce(1, 0, "z", Weights{"x": 1}, open); !maps.Equal(w, now) {
 		t.Errorf("the table's own pin: %v", w)
 	}
 	if _, err := b.Unpin(fleet.ID); err != nil {
@@ -143,7 +143,7 @@
 // where they leave nothing.
 func TestRulesMaskEveryVersion(t *testing.T) {
 	b := NewBook(10, 1000*second)
-	b.Put(1*second, 1, Weights{"a": 1, "b": 1, "cold": 1, "gone": 5, "new": 1})
+	b.Put(1*second, 1, Weights{"a": 1, "b": 1, "cold": 1, "gone": 5, "new": 1}, nil)
 	if _, err := b.Pin(2*second, Pin{Scope: Scope{Table: 1}, Version: 1, Reason: "r"}); err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +151,7 @@
 	standing := func(be control.Backend) Standing {
 		return Standing{Closed: be == "gone", Now: now[be], Cold: be == "cold" || be == "new"}
 	}
-	w, _, over := b.InForce(1, "z", now, standing)
+	w, _, over := b.InForce(1, 0, "z", now, standing)
 	if w["gone"] != 0 || w["new"] != 0 || w["a"] != 1 || over == "" {
 		t.Errorf("%v, %q", w, over)
 	}
@@ -164,7 +164,7 @@
 	if part, before := w["cold"]/sum(w), now["cold"]/sum(now); part == 0 || part > before*1.0001 {
 		t.Errorf("the cold one's part is %.4f, now %.4f", part, before)
 	}
-	w, pin, over := b.InForce(1, "z", now, func(control.Backend) Standing { return Standing{Closed: true} })
+	w, pin, over := b.InForce(1, 0, "z", now, func(control.Backend) Standing { return Standing{Closed: true} })
 	if !maps.Equal(w, now) || pin == nil || over == "" {
 		t.Errorf("with nothing left: %v, %q", w, over)
 	}
@@ -182,8 +182,37 @@
 			for b.Loop() {
 				n++
 				w[control.Backend(fmt.Sprintf("127.0.0.1:%d", n%lines))] = float64(n%7 + 1)
-				book.Put(control.Micros(n), 1, w)
+				book.Put(control.Micros(n), 1, w, nil)
 			}
 		})
 	}
 }
+
+// What acts in a table's place for a kind is part of its versions, of pins and of what a next start is told.
+func TestActingWeights(t *testing.T) {
+	b := NewBook(10, 1000*second)
+	w := Weights{"a": 1, "b": 1}
+	b.Put(1*second, 1, w, nil)
+	acting := map[control.ReqKind]Weights{2: {"b": 1}}
+	if v := b.Put(2*second, 1, w, acting); v != 2 {
+		t.Errorf("acting from now on is version %d", v)
+	}
+	if v := b.Put(3*second, 1, w, acting); v != 2 {
+		t.Errorf("the same again is version %d", v)
+	}
+	if _, err := b.Pin(4*second, Pin{Scope: Scope{Table: 1}, Version: 2, Reason: "r"}); err != nil {
+		t.Fatal(err)
+	}
+	if v := b.Put(5*second, 1, w, nil); v != 3 {
+		t.Errorf("no longer acting is version %d", v)
+	}
+	next := NewBook(10, 1000*second)
+	next.Recall(6*second, b.Keep())
+	for name, b := range map[string]*Book{"here": b, "after a start": next} {
+		for kind, want := range map[control.ReqKind]Weights{0: w, 2: acting[2]} {
+			if got, _, over := b.InForce(1, kind, "z", Weights{"c": 1}, func(control.Backend) Standing { return Standing{} }); !maps.Equal(got, want) || over != "" {
+				t.Errorf("%s, kind %d: %v, %q", name, kind, got, over)
+			}
+		}
+	}
+}
--- a/tables/version.go
+++ b/tables/version.go
@@ -46,6 +46,9 @@
 	return w
 }
 
+// Lines are what the state holds, in the order of names.
+func (s State) Lines() []Weighed { return Diff(State{}, s).Set }
+
 // Len counts the lines.
 func (s State) Len() int {
 	if s.tree == nil {
--- a/xds/delta.go
+++ b/xds/delta.go
@@ -2,20 +2,25 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"porthub/tables"
 )
 
-// LineType is the type URL of one line, as LEDS has it; DeltaPath is where DeltaDiscoveryRequests are posted.
+// LineType is the type URL of one line, as LEDS has it. DeltaPath and RouteDeltaPath are where DeltaDiscoveryRequests for
+// lines and for routes are posted.
 const (
-	LineType  = "type.googleapis.com/envoy.config.endpoint.v3.LbEndpoint"
-	DeltaPath = "/envoy.service.endpoint.v3.LocalityEndpointDiscoveryService/DeltaLocalityEndpoints"
+	LineType       = "type.googleapis.com/envoy.config.endpoint.v3.LbEndpoint"
+	DeltaPath      = "/envoy.service.endpoint.v3.LocalityEndpointDiscoveryService/DeltaLocalityEndpoints"
+	RouteDeltaPath = "/envoy.service.route.v3.RouteDiscoveryService/DeltaRoutes"
 )
 
 // A line's resource name is kind/zone/address; its version tells weight and whether it is withheld.
@@ -45,6 +50,80 @@
 	return out
 }
 
+// RouteVersions are the names and versions of all routes of a snapshot: by deltas each kind's is a RouteConfiguration of
+// its own, named by the kind.
+func RouteVersions(s tables.Snapshot) map[string]string {
+	out := map[string]string{}
+	for _, r := range s.Routes {
+		out[r.Kind] = routeVersion(r)
+	}
+	return out
+}
+
+func routeVersion(r tables.Route) string {
+	return fmt.Sprintf("%g.%g.%d.%d", r.Rate, r.Share, r.SecondTry, r.Timeout)
+}
+
+// RouteDelta is what leads a gateway that holds the routes given to a snapshot's.
+func RouteDelta(version, nonce string, held map[string]string, to tables.Snapshot) (*discoveryv3.DeltaDiscoveryResponse, error) {
+	r := &discoveryv3.DeltaDiscoveryResponse{SystemVersionInfo: version, TypeUrl: RouteType, Nonce: nonce}
+	seen := map[string]bool{}
+	for _, one := range to.Routes {
+		v := routeVersion(one)
+		if seen[one.Kind] = true; held[one.Kind] == v {
+			continue
+		}
+		rc, err := configuration(one.Kind, []tables.Route{one})
+		if err != nil {
+			return nil, err
+		}
+		res, err := anypb.New(rc)
+		if err != nil {
+			return nil, err
+		}
+		r.Resources = append(r.Resources, &discoveryv3.Resource{Name: one.Kind, Version: v, Resource: res})
+	}
+	for _, name := range slices.Sorted(maps.Keys(held)) {
+		if !seen[name] {
+			r.RemovedResources = append(r.RemovedResources, name)
+		}
+	}
+	return r, nil
+}
+
+// ApplyRouteDelta makes the routes that a delta leads to, of the kinds given and in their order. A resource that can't be
+// read is an error and changes nothing.
+func ApplyRouteDelta(kinds []string, held []tables.Route, d *discoveryv3.DeltaDiscoveryResponse) ([]tables.Route, error) {
+	routes := map[string]tables.Route{}
+	for _, r := range held {
+		routes[r.Kind] = r
+	}
+	for _, name := range d.RemovedResources {
+		delete(routes, name)
+	}
+	for _, res := range d.Resources {
+		rc := &routev3.RouteConfiguration{}
+		if err := res.GetResource().UnmarshalTo(rc); err != nil {
+			return nil, fmt.Errorf("%w: resource %q: %v", ErrNotXDS, res.Name, err)
+		}
+		read, err := readRoutes(rc)
+		if err != nil {
+			return nil, err
+		}
+		if len(read) != 1 || read[0].Kind != res.Name || !slices.Contains(kinds, res.Name) {
+			return nil, fmt.Errorf("%w: resource %q is not the one route of a known kind", ErrNotXDS, res.Name)
+		}
+		routes[res.Name] = read[0]
+	}
+	var out []tables.Route
+	for _, k := range kinds {
+		if r, has := routes[k]; has {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
 // Delta is what leads a gateway that holds the lines given to a snapshot's clusters.
 func Delta(version, nonce string, held map[string]string, to tables.Snapshot) (*discoveryv3.DeltaDiscoveryResponse, error) {
 	r := &discoveryv3.DeltaDiscoveryResponse{SystemVersionInfo: version, TypeUrl: LineType, Nonce: nonce}
--- a/xds/shared.go
+++ b/xds/shared.go
@@ -43,6 +43,12 @@
 	return &Shared{delta: m}, err
 }
 
+// ShareRouteDelta is what leads a gateway that holds the routes given to a snapshot's.
+func ShareRouteDelta(held map[string]string, to tables.Snapshot) (*Shared, error) {
+	m, err := RouteDelta("", "", held, to)
+	return &Shared{delta: m}, err
+}
+
 // Message is the response to one gateway. Its resources are shared: it must not be changed.
 func (s *Shared) Message(version, nonce string) proto.Message {
 	if s.delta != nil {
--- a/xds/speak.go
+++ b/xds/speak.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 
 	"porthub/control"
+	"porthub/tables"
 )
 
 // The paths on which messages are posted. Those for documents are the published ones of REST xDS; load reports have
@@ -32,6 +33,7 @@
 	metaWeight   = "usual_reqs_per_s"
 	metaReport   = "report_number"
 	metaChecksum = "held_checksum"
+	metaHeld     = "held_versions"
 	metaPoll     = "polls"
 	metaHold     = "hold_ms"
 
@@ -49,8 +51,10 @@
 	Weight   float64 // usual reqs a second
 	Report   uint64  // number of the report that this message carries, from 1
 	Checksum uint64  // of all that it holds (tables.Checksum); 0: it does not say
-	Polls    bool    // it polls for its tables; else it reads files
-	Hold     time.Duration
+	// Held are the versions of endpoints and routes that the checksum is of; empty: it does not say.
+	Held  [tables.Docs]string
+	Polls bool // it polls for its tables; else it reads files
+	Hold  time.Duration
 }
 
 func (n Node) message() *corev3.Node {
@@ -63,6 +67,9 @@
 	}
 	if n.Checksum != 0 {
 		fields[metaChecksum] = strconv.FormatUint(n.Checksum, 16)
+		if n.Held != ([tables.Docs]string{}) {
+			fields[metaHeld] = []any{n.Held[0], n.Held[1]}
+		}
 	}
 	meta, _ := structpb.NewStruct(fields)
 	return &corev3.Node{Id: n.Name, Cluster: "gateways", Locality: &corev3.Locality{Zone: n.Zone}, Metadata: meta,
@@ -101,6 +108,13 @@
 			return Node{}, fmt.Errorf("%w: node.metadata.%s is %q, no number of base 16", ErrNotXDS, metaChecksum, text)
 		}
 		node.Checksum = sum
+		if held := meta[metaHeld].GetListValue().GetValues(); len(held) == tables.Docs {
+			for d, v := range held {
+				node.Held[d] = v.GetStringValue()
+			}
+		} else if len(held) > 0 {
+			return Node{}, fmt.Errorf("%w: node.metadata.%s names %d versions, not those of endpoints and routes", ErrNotXDS, metaHeld, len(held))
+		}
 	}
 	if math.IsNaN(node.Weight) || node.Weight < 0 || node.Weight > 1e7 {
 		return Node{}, fmt.Errorf("%w: node.metadata.%s is %v", ErrNotXDS, metaWeight, node.Weight)
--- a/xds/xds.go
+++ b/xds/xds.go
@@ -124,7 +124,19 @@
 
 // RouteDocument makes the document of a gateway's routes.
 func RouteDocument(version, nonce string, routes []tables.Route) (*discoveryv3.DiscoveryResponse, error) {
-	rc := &routev3.RouteConfiguration{Name: RouteName, VirtualHosts: []*routev3.VirtualHost{{Name: "all", Domains: []string{"*"}}}}
+	rc, err := configuration(RouteName, routes)
+	if err != nil {
+		return nil, err
+	}
+	res, err := anypb.New(rc)
+	if err != nil {
+		return nil, fmt.Errorf("routes: %w", err)
+	}
+	return &discoveryv3.DiscoveryResponse{VersionInfo: version, TypeUrl: RouteType, Nonce: nonce, Resources: []*anypb.Any{res}}, nil
+}
+
+func configuration(name string, routes []tables.Route) (*routev3.RouteConfiguration, error) {
+	rc := &routev3.RouteConfiguration{Name: name, VirtualHosts: []*routev3.VirtualHost{{Name: "all", Domains: []string{"*"}}}}
 	for _, r := range routes {
 		one, err := route(r)
 		if err != nil {
@@ -132,11 +144,7 @@
 		}
 		rc.VirtualHosts[0].Routes = append(rc.VirtualHosts[0].Routes, one)
 	}
-	res, err := anypb.New(rc)
-	if err != nil {
-		return nil, fmt.Errorf("routes: %w", err)
-	}
-	return &discoveryv3.DiscoveryResponse{VersionInfo: version, TypeUrl: RouteType, Nonce: nonce, Resources: []*anypb.Any{res}}, nil
+	return rc, nil
 }
 
 // fillEvery is how often a rate's bucket is filled.
@@ -251,15 +259,11 @@
 			if err := res.UnmarshalTo(rc); err != nil {
 				return d, fmt.Errorf("%w: resource %d: %v", ErrNotXDS, i, err)
 			}
-			for _, host := range rc.VirtualHosts {
-				for _, one := range host.Routes {
-					read, err := readRoute(one)
-					if err != nil {
-						return d, err
-					}
-					d.Routes = append(d.Routes, read)
-				}
+			routes, err := readRoutes(rc)
+			if err != nil {
+				return d, err
 			}
+			d.Routes = append(d.Routes, routes...)
 		default:
 			return d, fmt.Errorf("%w: type %q is not known", ErrNotXDS, r.TypeUrl)
 		}
@@ -267,6 +271,19 @@
 	return d, nil
 }
 
+func readRoutes(rc *routev3.RouteConfiguration) (out []tables.Route, err error) {
+	for _, host := range rc.VirtualHosts {
+		for _, one := range host.Routes {
+			read, err := readRoute(one)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, read)
+		}
+	}
+	return out, nil
+}
+
 func readRoute(one *routev3.Route) (tables.Route, error) {
 	action := one.GetRoute()
 	r := tables.Route{Kind: action.GetCluster(), Rate: tables.Unlimited, Share: 1,
