The inbox is two bounded lock-free lanes; a drain does not wait behind reports

Need: what the node list, probes and operators say stood in one line with thousands of reports, and was refused with them when it was full; the queue between event loops and core was to be lock-free.

The list, probes and operators' requests are pressed and taken first. Sampling is compared with taking all and with the oldest first on the same storm, in fed time.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,7 +44,7 @@
 	tap   func(control.Micros, []coordinator.Input, *coordinator.Core)
 
 	core   *coordinator.Core
-	inbox  chan event
+	inbox  *inbox
 	front  *files.Front
 	hub    *poll.Hub
 	source *file.Source // nil: there is no file
@@ -103,18 +103,12 @@
 	reply  func([]byte)                   // called after the step; what query returned, or nil
 }
 
-// inboxLength bounds what waits for the core; batchMost what it takes at a time.
-const (
-	inboxLength = 8192
-	batchMost   = 1024
-)
-
 // ErrEnvironment is a failure of the machine around the daemon: a port that is taken, a folder that can't be made.
 var ErrEnvironment = errors.New("environment")
 
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: make(chan event, inboxLength),
+	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(),
 		saves: make(chan any, 1), snaps: make(chan any, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
 	if d.clock == nil {
 		d.clock = NewClock()
@@ -144,7 +138,7 @@
 			Age: time.Duration(o.Config.Capture.Age) * time.Microsecond})
 	}
 	front, err := files.Open(o.Config.Front.Files.Dir, o.Config.Front.Files.Writers, func(g coordinator.Gateway, err error) {
-		d.give(coordinator.Failed{Gateway: g, Why: err.Error()})
+		d.inbox.give(coordinator.Failed{Gateway: g, Why: err.Error()})
 	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
@@ -160,13 +154,13 @@
 				if err != nil {
 					list.How, list.Why = control.ListFailed, err.Error()
 				}
-				d.give(list)
+				d.inbox.give(list)
 			})
 	}
 	for _, e := range o.Config.Registry.Eureka {
-		d.eureka = append(d.eureka, eureka.New(eurekaOptions(e), func(a membership.Answer) { d.give(coordinator.Told{Answer: a}) }))
+		d.eureka = append(d.eureka, eureka.New(eurekaOptions(e), func(a membership.Answer) { d.inbox.give(coordinator.Told{Answer: a}) }))
 	}
-	d.probes = newProber(o.Config.Probes, func(p control.Probed) { d.give(coordinator.Probed{Probed: p}) })
+	d.probes = newProber(o.Config.Probes, func(p control.Probed) { d.inbox.give(coordinator.Probed{Probed: p}) })
 	if d.server, err = listen(d, o.Config.Listen); err != nil {
 		front.Close()
 		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
@@ -180,19 +174,6 @@
 // Front tells what the file front has written.
 func (d *Daemon) Front() files.Stats { return d.front.Stats() }
 
-// give puts inputs into the inbox and waits while it is full; for goroutines that may wait.
-func (d *Daemon) give(inputs ...coordinator.Input) { d.inbox <- event{inputs: inputs} }
-
-// offer puts an event into the inbox if there is room.
-func (d *Daemon) offer(e event) bool {
-	select {
-	case d.inbox <- e:
-		return true
-	default:
-		return false
-	}
-}
-
 // Run steps the core until the context ends. A panic of the core ends it with an error that says where the input
 // stood; gateways go on by their files.
 func (d *Daemon) Run(ctx context.Context) (err error) {
@@ -225,37 +206,16 @@
 	d.log.Info("started", zap.String("listen", d.Addr()), zap.String("files", d.cfg.Front.Files.Dir))
 	inputs = d.recall(d.clock.Now(), d.set)
 	d.step(inputs)
-	for {
-		wait := d.core.Next() - d.clock.Now()
-		var timer <-chan time.Time
-		if wait > 0 {
-			timer = d.clock.After(wait)
-		}
-		var events []event
-		if wait <= 0 {
-			select {
-			case e := <-d.inbox:
-				events = append(events, e)
-			case <-ctx.Done():
-				return nil
-			default:
-			}
-		} else {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-timer:
-			case e := <-d.inbox:
-				events = append(events, e)
-			}
-		}
-		for more := len(events) > 0; more && len(events) < batchMost; {
-			select {
-			case e := <-d.inbox:
-				events = append(events, e)
-			default:
-				more = false
+	var events []event
+	for ctx.Err() == nil {
+		events = d.inbox.next(ctx, events[:0], func() <-chan time.Time {
+			if wait := d.core.Next() - d.clock.Now(); wait > 0 {
+				return d.clock.After(wait)
 			}
+			return nil
+		})
+		if ctx.Err() != nil {
+			break
 		}
 		inputs = inputs[:0]
 		for _, e := range events {
@@ -272,6 +232,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // step hands inputs to the core and carries out what comes of it.
@@ -346,11 +307,7 @@
 func (d *Daemon) close() {
 	d.server.close()
 	d.probes.close()
-	// Nobody reads the inbox any more: writers that report a failure must not wait for it.
-	go func() {
-		for range d.inbox {
-		}
-	}()
+	d.inbox.close()
 	closed := make(chan struct{})
 	go func() {
 		if d.writer != nil {
--- a/daemon/nodes.go
+++ b/daemon/nodes.go
@@ -95,6 +95,6 @@
 
 func (d *Daemon) heard(c *coordinator.Core) []byte {
 	stats, nodes := c.Heard()
-	return text(Heard{c.Now(), stats, d.server.deferred.Load(), len(d.inbox), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
+	return text(Heard{c.Now(), stats, d.server.deferred.Load(), d.inbox.len(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
 		d.took.Max()}, nodes})
 }
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -61,7 +61,7 @@
 		return
 	}
 	n := int(s.refused.Swap(0))
-	s.d.offer(event{inputs: []coordinator.Input{coordinator.Refused{From: from, Why: why, Count: n}}})
+	s.d.inbox.offer(event{inputs: []coordinator.Input{coordinator.Refused{From: from, Why: why, Count: n}}})
 }
 
 // peer is one connection. Only its event loop touches it, but for out.
@@ -147,7 +147,7 @@
 	}
 	if p.joined {
 		s.forget(p.gateway, p)
-		s.d.offer(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
+		s.d.inbox.offer(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
 	}
 	return gnet.None
 }
@@ -294,7 +294,7 @@
 			return
 		}
 		// A gateway whose last report is young waits while the core is behind: the others' come first.
-		if intake.Defer(len(s.d.inbox), inboxLength, control.Micros(time.Since(p.reported).Microseconds()), control.Micros(s.d.cfg.Reports.Period)) {
+		if intake.Defer(s.d.inbox.len(), inboxLength, control.Micros(time.Since(p.reported).Microseconds()), control.Micros(s.d.cfg.Reports.Period)) {
 			s.deferred.Add(1)
 			s.answer(p, http.StatusTooManyRequests, textType, []byte("the core is behind: report later\n"))
 			return
@@ -307,11 +307,11 @@
 		}
 		s.hand(p, node, &report, func([]byte) { s.answer(p, http.StatusOK, jsonType, text) }, fail)
 	case req.Method == http.MethodGet && req.URL.Path == "/tables":
-		if !s.d.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.inbox.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	case req.Method == http.MethodGet && req.URL.Path == "/intake":
-		if !s.d.offer(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.inbox.press(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", strings.HasPrefix(req.URL.Path, "/nodes/"):
@@ -320,7 +320,11 @@
 			fail(code, err.Error())
 			return
 		}
-		if !s.d.offer(event{query: operate, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		put := s.d.inbox.offer
+		if req.Method == http.MethodPost { // an operator's word does not wait behind reports
+			put = s.d.inbox.press
+		}
+		if !put(event{query: operate, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	default:
@@ -377,7 +381,7 @@
 		in.Conn = link
 		inputs = append(inputs, *in)
 	}
-	if !s.d.offer(event{inputs: inputs, reply: done}) {
+	if !s.d.inbox.offer(event{inputs: inputs, reply: done}) {
 		if main == p && !p.joined {
 			s.forget(name, p)
 		}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -308,3 +308,87 @@
 		t.Errorf("%d changes, %d at the end", changes, last)
 	}
 }
+
+// The same storm, eight times what can be taken, by three rules: all is taken (which costs eight times the bound), the oldest
+// first out of a bounded line, and ours. A node's load doubles in the middle and another one fails.
+func TestAgainstOldestFirst(t *testing.T) {
+	const gateways, nodes, each, bound, rounds, turn = 2000, 100, 10, 2500.0, 60, 30
+	type report struct {
+		name  string
+		lines []Line
+	}
+	type outcome struct {
+		err      float64 // mean error of a node's tries
+		learned  int     // rounds until the failing node's errors are at half of what they are
+		followed int     // rounds until the doubled load is told within a fifth
+		lines    float64 // taken a round
+	}
+	run := func(rule string) (out outcome) {
+		f, set := newFleet(gateways, nodes), Settings{Period: second}
+		if rule == "ours" {
+			set.Lines = bound
+		}
+		in, waiting, cases := New(set), []report(nil), 0
+		out.learned, out.followed = rounds, rounds
+		for r := range rounds {
+			now := control.Micros(r+1) * second
+			if r == turn {
+				f.mean[7] *= 2
+			}
+			truth, failed := map[control.Backend]float64{}, 0.0
+			var came []report
+			for g, name := range f.names {
+				one := report{name: name}
+				for k := range each {
+					n := (g*7 + k*k + k) % nodes
+					l := Line{Node: f.nodes[n], Tries: int(f.mean[n]*2*f.rng.Float64()) + 1}
+					if n == 13 && r >= turn {
+						l.Errored, failed = l.Tries, failed+float64(l.Tries)
+					}
+					one.lines = append(one.lines, l)
+					truth[l.Node] += float64(l.Tries)
+				}
+				came = append(came, one)
+			}
+			f.rng.Shuffle(len(came), func(i, j int) { came[i], came[j] = came[j], came[i] })
+			if rule == "oldest" {
+				waiting = append(waiting, came...)
+				if most := int(20 * bound / each); len(waiting) > most {
+					waiting = waiting[:most] // what finds no room is lost
+				}
+				n := min(len(waiting), int(bound/each))
+				came, waiting = waiting[:n], waiting[n:]
+			}
+			for _, one := range came {
+				v := in.Offer(now, one.name, each, 30, second)
+				for _, l := range one.lines {
+					if _, ok := in.Take(v, l); ok && r >= 5 {
+						out.lines += 1.0 / (rounds - 5)
+					}
+				}
+			}
+			in.Close(now)
+			if r < 5 {
+				continue
+			}
+			for b, want := range truth {
+				got, _ := in.View(now, b)
+				out.err += math.Abs(got.Tries-want) / want
+				cases++
+			}
+			if got, _ := in.View(now, "n13"); r >= turn && got.Errored > failed/2 {
+				out.learned = min(out.learned, r-turn)
+			}
+			if got, _ := in.View(now, "n7"); r >= turn && math.Abs(got.Tries-truth["n7"]) < truth["n7"]/5 {
+				out.followed = min(out.followed, r-turn)
+			}
+		}
+		out.err /= float64(cases)
+		return out
+	}
+	all, oldest, ours := run("all"), run("oldest"), run("ours")
+	t.Logf("all %+v, oldest first %+v, ours %+v", all, oldest, ours)
+	if ours.learned > 0 || oldest.learned < 10 || ours.lines > bound || ours.err > 1.25*oldest.err {
+		t.Error("ours does not learn sooner, or knows less")
+	}
+}
