Drains of ten thousand gateways keep the grace: room for each connection, steps that gather

Cause: with ten thousand gateways in a storm drains were at 171% of the grace (130% with sampling off). A step of half a second filled the inbox's 8,192 places; polls that found none were answered 503 and came a second later. Between rounds the module's look at all proxies, some milliseconds whatever it is told, was paid for a few acknowledgements at a time, on a machine that had no core to spare.

Change: the plain lane has a place for each connection that may stand (none has two requests on its way); reports are put off (429) as before. After a step of more than 2 ms inputs gather for as long as it took, 20 ms at most (intake.Gather).

--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -32,3 +32,27 @@
 		})
 	}
 }
+
+// BenchmarkDrain is the step in which all gateways are told that a node drains: ten thousand of them, a hundred nodes.
+func BenchmarkDrain(b *testing.B) {
+	h := newHost(&testing.T{}, func(s *Settings) { s.Up.Proxies, s.Up.Rules.QueueCap = 10000, 4e6 })
+	zones := []control.Zone{"a", "b"}
+	var list []control.Entry
+	for i := range 100 {
+		list = append(list, entries(zones[i%2], control.Backend(fmt.Sprintf("n%d:1", i)))...)
+	}
+	h.list(list...)
+	for i := range 10000 {
+		h.join(Gateway(fmt.Sprintf("g%d", i)), zones[i%2])
+	}
+	h.pass(10*second, "g1")
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		for i := range 20 {
+			list[i].Status = control.Ready
+		}
+		list[n%20].Status = control.Draining
+		h.list(list...)
+		h.pass(second) // after a quarter of the grace at the latest it is masked
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"porthub/coordinator"
 	"porthub/front/files"
 	"porthub/front/poll"
+	"porthub/intake"
 	"porthub/membership"
 	"porthub/registry/eureka"
 	"porthub/registry/file"
@@ -108,7 +109,7 @@
 
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(),
+	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(o.Config.Limits.Connections),
 		saves: make(chan any, 1), snaps: make(chan any, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
 	if d.clock == nil {
 		d.clock = NewClock()
@@ -221,6 +222,7 @@
 		for _, e := range events {
 			inputs = append(inputs, e.inputs...)
 		}
+		began := time.Now()
 		d.step(inputs)
 		for _, e := range events {
 			var answer []byte
@@ -231,6 +233,9 @@
 				e.reply(answer)
 			}
 		}
+		if wait := intake.Gather(control.Micros(time.Since(began).Microseconds())); wait > 0 {
+			time.Sleep(time.Duration(wait) * time.Microsecond)
+		}
 	}
 	return nil
 }
--- a/daemon/inbox.go
+++ b/daemon/inbox.go
@@ -21,14 +21,21 @@
 	closed        atomic.Bool
 }
 
-// inboxLength bounds each lane; batchMost is what the core takes at a time.
+// urgentLength bounds the urgent lane, plainLength is the least bound of the plain one, and batchMost is what the core takes at
+// a time.
 const (
-	inboxLength = 8192
-	batchMost   = 1024
+	urgentLength = 8192
+	plainLength  = 8192
+	batchMost    = 4096
 )
 
-func newInbox() *inbox {
-	return &inbox{urgent: xsync.NewMPMCQueue[event](inboxLength), plain: xsync.NewMPMCQueue[event](inboxLength), bell: make(chan struct{}, 1)}
+// newInbox makes room in the plain lane for a request of each connection: none has two on its way, so that none that polls or
+// acknowledges is turned away for what others have sent. (At ten thousand gateways a step of half a second filled 8,192 places,
+// and those that found none came a second later: drains were at 171% of the grace.) Reports are put off long before,
+// by package intake.
+func newInbox(connections int) *inbox {
+	return &inbox{urgent: xsync.NewMPMCQueue[event](urgentLength), plain: xsync.NewMPMCQueue[event](max(plainLength, connections)),
+		bell: make(chan struct{}, 1)}
 }
 
 // offer puts an event in if there is room.
--- a/daemon/inbox_test.go
+++ b/daemon/inbox_test.go
@@ -14,7 +14,7 @@
 // woken for each, however they meet.
 func TestInboxLosesNothing(t *testing.T) {
 	const producers, each = 8, 20000
-	b := newInbox()
+	b := newInbox(0)
 	var all sync.WaitGroup
 	for p := range producers {
 		all.Add(1)
@@ -57,12 +57,12 @@
 
 // A full plain lane refuses, and what is urgent still gets in and is taken first; a closed inbox keeps nobody.
 func TestInboxLanes(t *testing.T) {
-	b := newInbox()
+	b := newInbox(0)
 	n := 0
 	for b.offer(event{inputs: []coordinator.Input{n}}) {
 		n++
 	}
-	if n != inboxLength || b.len() != n {
+	if n != plainLength || b.len() != n {
 		t.Errorf("%d taken in, %d said", n, b.len())
 	}
 	b.give("drain")
@@ -78,7 +78,7 @@
 
 func BenchmarkInbox(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
-	box := newInbox()
+	box := newInbox(0)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -102,7 +102,7 @@
 // BenchmarkChannel is what the inbox was before.
 func BenchmarkChannel(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
-	box := make(chan event, inboxLength)
+	box := make(chan event, plainLength)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -294,7 +294,7 @@
 			return
 		}
 		// A gateway whose last report is young waits while the core is behind: the others' come first.
-		if intake.Defer(s.d.inbox.len(), inboxLength, control.Micros(time.Since(p.reported).Microseconds()), control.Micros(s.d.cfg.Reports.Period)) {
+		if intake.Defer(s.d.inbox.len(), plainLength, control.Micros(time.Since(p.reported).Microseconds()), control.Micros(s.d.cfg.Reports.Period)) {
 			s.deferred.Add(1)
 			s.answer(p, http.StatusTooManyRequests, textType, []byte("the core is behind: report later\n"))
 			return
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -376,6 +376,21 @@
 	return waiting > room/2 && since < period
 }
 
+// Gather is how long the core lets inputs gather after a step that took so long. The module looks at all proxies whenever it is
+// told anything: with ten thousand of them that is some milliseconds, for one acknowledgement as for a thousand. A step
+// that was quick is followed at once; after a long one as much time is left to the rest of the machine.
+func Gather(took control.Micros) control.Micros {
+	if took < gatherFrom {
+		return 0
+	}
+	return min(took, gatherMost)
+}
+
+const (
+	gatherFrom = 2000  // us
+	gatherMost = 20000 // a hundredth of what a drain may take is lost by it
+)
+
 // Stretch is how much longer than a period gateways may be asked to wait between reports: what comes then is what can be
 // taken.
 func (in *Intake) Stretch() int { return in.stretch }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -392,3 +392,12 @@
 		t.Error("ours does not learn sooner, or knows less")
 	}
 }
+
+// A quick step is followed at once, a long one by as much time for the others, within bounds.
+func TestGather(t *testing.T) {
+	for took, want := range map[control.Micros]control.Micros{300: 0, 1999: 0, 2000: 2000, 9000: 9000, 500_000: 20_000} {
+		if got := Gather(took); got != want {
+			t.Errorf("after %d us it waits %d, want %d", took, got, want)
+		}
+	}
+}
