Expectations as tests: fleets drawn, courses played through the core, failures named

Need: operators want to write down what should happen next to the configuration and have it proven without traffic; a configuration that leaves some gateways without a choice showed only in operation.

--- a/cmd/porthub/commands.go
+++ b/cmd/porthub/commands.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"runtime/pprof"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -92,11 +93,15 @@
 	var path string
 	cmd := &cobra.Command{
 		Use:     "check -c FILE",
-		Short:   "Check a configuration and print every finding",
+		Short:   "Check a configuration, and what is expected of it in the files *.expect.json beside it",
 		Example: "  porthub check -c porthub.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := config.Load(path)
+			cfg, err := config.Load(path)
+			var all []proven
+			if err == nil {
+				all, err = checkSuites(cfg, path)
+			}
 			var findings config.Findings
 			if errors.As(err, &findings) {
 				for _, f := range findings {
@@ -104,10 +109,17 @@
 				}
 				return errNotHeld
 			}
-			if err == nil {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: all well\n", path)
+			if err != nil {
+				return err
+			}
+			if len(all) > 0 {
+				printProven(cmd.OutOrStdout(), all)
 			}
-			return err
+			if slices.ContainsFunc(all, func(p proven) bool { return len(p.Failures) > 0 }) {
+				return errNotHeld
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: all well\n", path)
+			return nil
 		},
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "configuration to check")
--- /dev/null
+++ b/config/suite_test.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const soundSuite = `{
+  "expect": [
+    {"name": "calm", "cases": 2, "length": "10s",
+     "fleet": {"nodes": [9, 12], "gateways": [6], "load": [0.4]},
+     "course": [{"at": "2s", "what": "lose", "zone": "a", "part": 0.5}],
+     "that": [
+       {"never_without": "5s", "kind": "view"},
+       {"nodes_at_least": 2},
+       {"halls_at_least": 1}]}]}`
+
+// Each broken file of expectations is refused with a message of its own, by the line that is wrong.
+func TestBrokenSuites(t *testing.T) {
+	cfg := Default()
+	cfg.Zones = []string{"a", "b"}
+	cfg.Kinds = []Kind{{Name: "view"}, {Name: "save"}}
+	cfg.Service.Levels = []ServiceLevel{{Name: "tight"}}
+	if _, err := ParseSuite("s.json", []byte(soundSuite), cfg); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, says string }{
+		{`"what": "lose"`, `"what": "loose"`, `s.json:5: expect: there is no "loose"`},
+		{`"zone": "a"`, `"zone": "x"`, `s.json:5: expect: there is no zone "x"`},
+		{`"part": 0.5`, `"part": 1.5`, `part is 1.5`},
+		{`"at": "2s"`, `"at": "20s"`, `it happens at 20.0 s`},
+		{`"what": "lose"`, `"what": "fail", "kind": "x"`, `there is no request kind "x"`},
+		{`"what": "lose"`, `"what": "load"`, `size is 0`},
+		{`"kind": "view"`, `"kind": "vew"`, `s.json:7: expect: there is no request kind "vew"`},
+		{`"never_without": "5s"`, `"never_without": "5s", "nodes_at_least": 1`, `it has 2 figures`},
+		{`{"nodes_at_least": 2}`, `{"kind": "save"}`, `s.json:8: expect: it has 0 figures`},
+		{`"halls_at_least": 1`, `"halls_at_least": 3`, `it expects 3 halls`},
+		{`"halls_at_least": 1`, `"nodes_at_most": 1`, `2 nodes at least (line 8) and 1 nodes at most (line 9) can't both hold`},
+		{`"halls_at_least": 1`, `"entered": "x"`, `there is no level "x"`},
+		{`{"halls_at_least": 1}`, `{"entered": "tight", "from": "3s"}, {"not_entered": "tight"}`, `level tight entered (line 9) and level tight not entered (line 9)`},
+		{`"halls_at_least": 1`, `"halls_at_least": 1, "from": "5s", "to": "4s"`, `it counts from 5.0 to 4.0 s`},
+		{`"name": "calm"`, `"name": ""`, `the name "" is empty`},
+		{`"length": "10s"`, `"length": "1s"`, `calm lasts 1 s`},
+		{`"nodes": [9, 12]`, `"nodes": [12, 9]`, `its fleet is`},
+		{`"gateways": [6]`, `"gateways": [0]`, `its fleet is`},
+		{`"load": [0.4]`, `"load": 0.4`, `expect[0].fleet.load: is 0.4, it must be a list`},
+		{`"cases": 2`, `"case": 2`, `did you mean cases?`},
+		{`"never_without": "5s"`, `"never_without": 5`, `it must be a time with its unit`},
+		{`"that": [`, `"that": [], "thats": [`, `is not known`},
+		{`{"never_without": "5s", "kind": "view"},`, ``, ``}, // and one that is sound
+	} {
+		_, err := ParseSuite("s.json", []byte(strings.Replace(soundSuite, c.old, c.new, 1)), cfg)
+		if c.says == "" {
+			if err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s for %s: %v", c.new, c.old, err)
+		}
+	}
+}
+
+// Levels that can't be left are refused by the line of the level.
+func TestBrokenLevels(t *testing.T) {
+	text := func(level string) []byte {
+		return []byte(`{
+  "coordinator": {"zone": "a"}, "zones": ["a"], "front": {"files": {"dir": "d"}}, "registry": {"file": {"path": "p"}},
+  "request_kinds": [{"name": "view", "repeat": "replayable", "response_target": "1s", "client_timeout": "2s", "payoff": 1}],
+  "service": {"levels": [
+    ` + level + `]}}`)
+	}
+	if _, err := Parse("c.json", text(`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 0.8}}`)); err != nil {
+		t.Fatal(err)
+	}
+	for level, says := range map[string]string{
+		`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 0}}`:                                              `c.json:5: service.levels[0].leave.load: 0 is never reached in calm`,
+		`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 1}}`:                                              `would swing`,
+		`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 0.8}, "kinds": [{"name": "x"}]}`:                  `"x" is no request kind`,
+		`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 0.8}, "kinds": [{"name": "view", "share": 0.5}]}`: `part of what can be served would be turned away`,
+		`{"name": "tight", "enter": {"load": 1}, "leave": {"load": 0.8}, "leave_held": "1s"}`:                        `under two reports`,
+	} {
+		if _, err := Parse("c.json", text(level)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v", level, err)
+		}
+	}
+}
--- /dev/null
+++ b/expect/expect_test.go
@@ -0,0 +1,200 @@
+package expect_test
+
+import (
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"porthub/config"
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/expect"
+	"porthub/tables"
+)
+
+func settings(cfg config.Config) coordinator.Settings {
+	set := coordinator.Settings{Up: cfg.Up(), SilentAfter: control.Micros(cfg.Gateways.SilentAfter), Solver: true}
+	set.Service, set.Fallback = cfg.ServiceLevels()
+	return set
+}
+
+// shipped is the example configuration with its expectations.
+func shipped(t *testing.T, changes ...string) (config.Config, expect.Suite) {
+	t.Helper()
+	text, err := os.ReadFile("../examples/porthub.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(changes); i += 2 {
+		if !strings.Contains(string(text), changes[i]) {
+			t.Fatalf("there is no %q to change", changes[i])
+		}
+		text = []byte(strings.Replace(string(text), changes[i], changes[i+1], 1))
+	}
+	cfg, err := config.Parse("porthub.json", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	suite, err := config.LoadSuite("../examples/porthub.expect.json", cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg, suite
+}
+
+// The shipped five rules hold, and each is found broken when what guards it is spoilt.
+func TestFiveRulesAsExpectations(t *testing.T) {
+	cfg, suite := shipped(t)
+	set, rules := settings(cfg), suite.Expect[0]
+	for i := range 3 {
+		if f := rules.Run(set, rules.Draw(i)); len(f) > 0 {
+			t.Errorf("case %d: %v", i, f)
+		}
+	}
+	// Limits that are reached soon; with the core told of them they are kept.
+	tight := set
+	tight.Up.Rules.QueueCap, tight.Up.Rules.MessageCap = 600, 4
+	rules.That = slices.Clone(rules.That)
+	rules.That[4].MessagesMost = 4
+	for i := range 3 {
+		for _, f := range rules.Run(tight, rules.Draw(i)) {
+			if strings.Contains(f.What, "lines on their way") || strings.Contains(f.What, "messages") {
+				t.Errorf("the core keeps its limits: %v", f)
+			}
+		}
+	}
+	ever := map[string]tables.Line{}
+	for what, spoil := range map[string]struct {
+		held func(*tables.Snapshot)
+		told func(*coordinator.Settings)
+	}{
+		"never without a node": {held: func(s *tables.Snapshot) { s.Clusters[0].Lines = nil }},
+		"second tries":         {held: func(s *tables.Snapshot) { s.Routes[2].SecondTry = 3 }},
+		"drained within": {held: func(s *tables.Snapshot) { // all lines that any gateway ever had stay
+			c := &s.Clusters[0]
+			for _, l := range c.Lines {
+				l.Withheld = false
+				ever[string(l.Backend)] = l
+			}
+			c.Lines = nil
+			for _, l := range ever {
+				c.Lines = append(c.Lines, l)
+			}
+		}},
+		"a cold node's load": {held: func(s *tables.Snapshot) {
+			for k := range s.Clusters { // all get the same, and nothing is turned away
+				s.Clusters[k].Lines = slices.Clone(s.Clusters[k].Lines)
+				for i := range s.Clusters[k].Lines {
+					s.Clusters[k].Lines[i].Weight = 1
+					if s.Clusters[k].Lines[i].Backend[5] < '4' {
+						s.Clusters[k].Lines[i].Weight = 20
+					}
+				}
+			}
+		}},
+		"messages at most": {told: func(s *coordinator.Settings) { s.Up.Rules.MessageCap = 0 }},
+		"lines on their way": {told: func(s *coordinator.Settings) {
+			s.Up.Rules.QueueCap = 1e9
+		}},
+	} {
+		found := false
+		for i := 0; i < 12 && !found; i++ {
+			limits := tight
+			if spoil.told == nil {
+				limits = set
+			}
+			for _, f := range rules.RunSpoilt(limits, rules.Draw(i), spoil.held, spoil.told) {
+				found = found || strings.Contains(f.What, what)
+			}
+		}
+		if !found {
+			t.Errorf("%s: it was spoilt, and holds", what)
+		}
+	}
+}
+
+// A configuration in which one kind may be served in one hall alone fails when that hall empties: the gateway and the kind are
+// named, and a smaller case is told.
+func TestBrokenConfigurationIsNamed(t *testing.T) {
+	cfg, suite := shipped(t, `"client_timeout": "2.5s", "payoff": 1}`, `"client_timeout": "2.5s", "payoff": 1, "only_zones": ["hala-a"]}`)
+	e := suite.Expect[1]
+	e.That = []expect.That{{Kind: "schedule", NodesAtLeast: 1, From: 8_000_000, Line: 33}}
+	c := e.Draw(0)
+	found := e.Run(settings(cfg), c)
+	if len(found) != 1 || found[0].Gateway == "" || found[0].Kind != "schedule" || found[0].Line != 33 {
+		t.Fatalf("%v", found)
+	}
+	small := e.Shrink(settings(cfg), c, found[0], 40)
+	if small.Small == "" || small.Line != 33 || !strings.Contains(small.String(), "gateway gw-") {
+		t.Errorf("%v", small)
+	}
+}
+
+// What holds for most gateways and not for all fails and names one for which it does not.
+func TestForAllIsForAll(t *testing.T) {
+	cfg, suite := shipped(t)
+	e := suite.Expect[1]
+	e.Course, e.That = nil, []expect.That{{HallsAtLeast: 2, Line: 4}}
+	for i := range 5 {
+		found := e.Run(settings(cfg), e.Draw(i))
+		if len(found) == 1 && found[0].Gateway != "" && found[0].Figure == "1 halls" {
+			return
+		}
+		if len(found) > 0 {
+			t.Fatalf("%v", found)
+		}
+	}
+	t.Error("tables of one hall alone pass for tables of two")
+}
+
+// The same case gives the same failures, time after time.
+func TestSameCaseSameEnd(t *testing.T) {
+	cfg, suite := shipped(t)
+	e := suite.Expect[0]
+	e.That = []expect.That{{NodesAtLeast: 6}, {LoadAtMost: 0.6}, {ServedAtLeast: 0.999}, {MessagesMost: 2}}
+	first := e.Run(settings(cfg), e.Draw(3))
+	if len(first) < 2 || !reflect.DeepEqual(first, e.Run(settings(cfg), e.Draw(3))) {
+		t.Errorf("%v", first)
+	}
+	if !reflect.DeepEqual(e.Draw(3), e.Draw(3)) || reflect.DeepEqual(e.Draw(3), e.Draw(4)) {
+		t.Error("draws differ, or are all the same")
+	}
+}
+
+// A level is expected to be entered when half the fleet is lost, and not in calm.
+func TestLevelsExpected(t *testing.T) {
+	cfg, suite := shipped(t)
+	cfg.Service.Levels = []config.ServiceLevel{{Name: "tight", Enter: config.Reasons{Lost: 0.25}, Leave: config.Reasons{Lost: 0.1}, EnterHeld: 2_000_000,
+		LeaveHeld: 15_000_000, SecondTry: 3, Cross: 1, Stretch: 1}}
+	set, e := settings(cfg), suite.Expect[1]
+	e.That = []expect.That{{Entered: "tight"}, {NotEntered: "tight", To: 4_000_000}}
+	if f := e.Run(set, e.Draw(0)); len(f) > 0 {
+		t.Errorf("%v", f)
+	}
+	e.Course = nil
+	if f := e.Run(set, e.Draw(0)); len(f) != 1 || f[0].Figure != "it was not" {
+		t.Errorf("in calm: %v", f)
+	}
+}
+
+// A thousand drawn cases at a hundred nodes and three hundred gateways take about a minute on four cores: a short run of them here.
+func BenchmarkCase(b *testing.B) {
+	text, _ := os.ReadFile("../examples/porthub.json")
+	cfg, err := config.Parse("porthub.json", text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	suite, err := config.LoadSuite("../examples/porthub.expect.json", cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	e, set := suite.Expect[0], settings(cfg)
+	e.Fleet.Nodes, e.Fleet.Gateways, e.Length = expect.Range{From: 100, To: 100}, expect.Range{From: 300, To: 300}, 12*control.Micros(time.Second/time.Microsecond)
+	set.Up.Rules.QueueCap = 40000
+	for b.Loop() {
+		e.Run(set, e.Draw(b.N))
+	}
+}
--- /dev/null
+++ b/expect/host.go
@@ -0,0 +1,525 @@
+package expect
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/tables"
+)
+
+// Case is one drawn fleet with its course.
+type Case struct {
+	Number   int
+	Seed     uint64
+	Nodes    int
+	Gateways int
+	Load     float64
+	Course   []Event
+}
+
+func (c Case) String() string {
+	return fmt.Sprintf("%d nodes, %d gateways, load %.2f and %d events", c.Nodes, c.Gateways, c.Load, len(c.Course))
+}
+
+// Draw draws a case of an expectation; the same number and seed draw the same.
+func (e Expectation) Draw(number int) Case {
+	seed := e.Seed + uint64(number)*0x9e3779b97f4a7c15
+	rng := rand.New(rand.NewPCG(seed, 1))
+	whole := func(r Range) int { return int(r.From) + rng.IntN(int(r.To)-int(r.From)+1) }
+	return Case{Number: number, Seed: seed, Nodes: whole(e.Fleet.Nodes), Gateways: whole(e.Fleet.Gateways),
+		Load: e.Fleet.Load.From + rng.Float64()*(e.Fleet.Load.To-e.Fleet.Load.From), Course: e.Course}
+}
+
+// How time goes in a case.
+const (
+	tick   = second / 4
+	settle = 14 * second // before the course begins: gateways have joined, the module has its rounds
+	base   = 1_000_000 * second
+	mean   = 20.0 // reqs a second that a warm node can do
+)
+
+// node is one of a case's.
+type node struct {
+	name     control.Backend
+	zone     control.Zone
+	up       bool
+	draining bool
+	failing  []bool // by kind
+	launched control.Micros
+	// By the list as it was last told.
+	listed  control.Status
+	closed  control.Micros // since when the list closes it; 0: it does not
+	started control.Micros // the start that the list names, and since when it names that
+	named   control.Micros
+	offered float64   // reqs in this tick
+	window  []float64 // of the last ticks
+	util    float64
+}
+
+type gateway struct {
+	name     coordinator.Gateway
+	zone     control.Zone
+	conn     coordinator.Conn
+	rates    []float64 // reqs a second by kind
+	held     tables.Snapshot
+	last     tables.Snapshot // that was sent on this link
+	open     [][]line        // by kind
+	halls    []int
+	joinedAt control.Micros
+	away     bool
+	seq      uint64
+	sums     []map[int]*sum // by kind and node, since the last report
+	arrived  []float64
+	denied   []float64
+	errored  []float64
+	sent     []control.Micros
+	without  []control.Micros // by kind: since when it has no line; 0: it has
+	waiting  []posted
+	heard    control.Micros
+}
+
+type line struct {
+	node   int
+	weight float64
+}
+
+type sum struct{ tries, errored float64 }
+
+type posted struct {
+	version string
+	lines   float64
+}
+
+// mail is a publication on its way to a gateway, or an acknowledgement on its way back.
+type mail struct {
+	at      control.Micros
+	gateway int
+	publish *coordinator.Publish
+	ack     coordinator.Input
+}
+
+// host feeds a core its time and plays the fleet.
+type host struct {
+	e        Expectation
+	c        Case
+	set      coordinator.Settings
+	core     *coordinator.Core
+	now      control.Micros
+	rng      *rand.Rand
+	nodes    []*node
+	byName   map[control.Backend]int
+	gateways []*gateway
+	gwByName map[coordinator.Gateway]int
+	mails    []mail
+	version  control.Version
+	listAt   []control.Micros // when the list tells what it has not told yet
+	times    float64
+	conns    coordinator.Conn
+	inputs   []coordinator.Input
+	judge    *judge
+	waiting  float64
+	done     int // events of the course
+	spoil    func(*tables.Snapshot)
+}
+
+// Run plays a case through a core with the settings given and tells what did not hold, the first of each.
+func (e Expectation) Run(set coordinator.Settings, c Case) []Failure { return e.run(set, c, spoilt{}) }
+
+// spoilt is what tests put between the core and its judge: what a gateway holds, and what the core is told of the limits.
+type spoilt struct {
+	held func(*tables.Snapshot)
+	told func(*coordinator.Settings)
+}
+
+func (e Expectation) run(set coordinator.Settings, c Case, by spoilt) []Failure {
+	set.Epoch, set.Up.Seed, set.Up.Proxies = "x", c.Seed, c.Gateways
+	told := set
+	if by.told != nil {
+		by.told(&told)
+	}
+	h := &host{e: e, c: c, set: set, core: coordinator.New(told), now: base, rng: rand.New(rand.NewPCG(c.Seed, 2)), byName: map[control.Backend]int{},
+		gwByName: map[coordinator.Gateway]int{}, times: 1, spoil: by.held}
+	h.build()
+	h.judge = newJudge(h)
+	h.list()
+	for end := base + settle + e.Length; h.now < end; h.now += tick {
+		h.events()
+		h.deliver()
+		h.report()
+		h.step()
+		for next := h.core.Next(); next < h.now+tick; next = h.core.Next() {
+			at := h.now
+			h.now = max(h.now, next)
+			h.step()
+			h.now = at
+			if next >= h.core.Next() {
+				break
+			}
+		}
+		h.send()
+		h.judge.look()
+	}
+	return h.judge.close()
+}
+
+func (h *host) build() {
+	zones, kinds := h.set.Up.Zones, len(h.set.Up.Kinds)
+	for i := range h.c.Nodes {
+		n := &node{name: control.Backend(fmt.Sprintf("node-%d:80", i)), zone: zones[i%len(zones)], up: true, failing: make([]bool, kinds)}
+		h.byName[n.name] = i
+		h.nodes = append(h.nodes, n)
+	}
+	total, sizes := 0.0, make([]float64, h.c.Gateways)
+	for i := range sizes {
+		sizes[i] = math.Exp(h.e.Fleet.Spread * h.rng.NormFloat64())
+		total += sizes[i]
+	}
+	for i := range h.c.Gateways {
+		g := &gateway{name: coordinator.Gateway(fmt.Sprintf("gw-%d", i)), zone: zones[i%len(zones)], arrived: make([]float64, kinds), denied: make([]float64, kinds),
+			errored: make([]float64, kinds), open: make([][]line, kinds), halls: make([]int, kinds), without: make([]control.Micros, kinds)}
+		for range kinds {
+			g.rates = append(g.rates, h.c.Load*mean*float64(h.c.Nodes)*sizes[i]/total/float64(kinds))
+			g.sums = append(g.sums, map[int]*sum{})
+		}
+		h.gwByName[g.name] = i
+		h.gateways = append(h.gateways, g)
+		h.join(g)
+	}
+}
+
+func (h *host) join(g *gateway) {
+	h.conns++
+	g.conn, g.joinedAt, g.seq, g.away, g.last = h.conns, h.now, 0, false, tables.Snapshot{}
+	weight := 0.0
+	for _, r := range g.rates {
+		weight += r
+	}
+	h.inputs = append(h.inputs, coordinator.Join{Gateway: g.name, Conn: g.conn, Zone: g.zone, Standing: len(g.held.Clusters) == 0, Weight: weight})
+}
+
+// events lets happen what is due.
+func (h *host) events() {
+	for ; h.done < len(h.c.Course); h.done++ {
+		ev := h.c.Course[h.done]
+		if h.now < base+settle+ev.At {
+			break
+		}
+		h.strike(ev)
+	}
+	for len(h.listAt) > 0 && h.now >= h.listAt[0] {
+		h.listAt = h.listAt[1:]
+		h.list()
+	}
+}
+
+func (h *host) strike(ev Event) {
+	tell := h.e.Fleet.ListLate
+	switch ev.What {
+	case Lose:
+		for _, n := range h.choose(ev, func(n *node) bool { return n.up }) {
+			n.up = false
+		}
+	case Drain:
+		tell = 0 // it is the list's own word
+		for _, n := range h.choose(ev, func(n *node) bool { return n.up && !n.draining }) {
+			n.draining = true
+		}
+	case Restart:
+		for _, n := range h.choose(ev, func(n *node) bool { return n.up && !n.draining }) {
+			n.launched = h.now
+		}
+	case Fail:
+		for _, n := range h.choose(ev, func(n *node) bool { return n.up }) {
+			for k, kind := range h.set.Up.Kinds {
+				n.failing[k] = n.failing[k] || ev.Kind == "" || ev.Kind == kind.Name
+			}
+		}
+	case Back:
+		for _, n := range h.nodes {
+			if !n.up || n.draining {
+				n.launched = h.now
+			}
+			n.up, n.draining = true, false
+			clear(n.failing)
+		}
+	case Away, Home:
+		var some []*gateway
+		for _, g := range h.gateways {
+			if (ev.Zone == "" || g.zone == ev.Zone) && g.away == (ev.What == Home) {
+				some = append(some, g)
+			}
+		}
+		for _, i := range h.rng.Perm(len(some))[:part(ev, len(some))] {
+			if g := some[i]; ev.What == Home {
+				h.join(g)
+			} else {
+				g.away = true
+				h.inputs = append(h.inputs, coordinator.Leave{Gateway: g.name, Conn: g.conn})
+				h.drop(g)
+			}
+		}
+		return
+	case Times:
+		h.times = ev.Size
+		return
+	}
+	h.listAt = append(h.listAt, h.now+tell)
+	slices.Sort(h.listAt)
+}
+
+// part is how many of so many an event strikes: all where it does not say.
+func part(ev Event, of int) int {
+	if ev.Part == 0 {
+		return of
+	}
+	return min(of, max(1, int(math.Ceil(ev.Part*float64(of)))))
+}
+
+func (h *host) choose(ev Event, may func(*node) bool) (some []*node) {
+	for _, n := range h.nodes {
+		if may(n) && (ev.Zone == "" || n.zone == ev.Zone) {
+			some = append(some, n)
+		}
+	}
+	h.rng.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:part(ev, len(some))]
+}
+
+// list tells the node list as it is now.
+func (h *host) list() {
+	h.version++
+	l := control.List{Version: h.version, How: control.ListFull}
+	for _, n := range h.nodes {
+		was := n.listed
+		switch {
+		case !n.up:
+			n.listed = control.Gone
+		case n.draining:
+			n.listed = control.Draining
+		default:
+			n.listed = control.Ready
+		}
+		if n.started != n.launched {
+			n.started, n.named = n.launched, h.now
+		}
+		if n.listed == control.Ready {
+			n.closed = 0
+		} else if was == control.Ready {
+			n.closed = h.now
+		}
+		if n.listed != control.Gone {
+			l.Entries = append(l.Entries, control.Entry{Backend: n.name, Zone: n.zone, Weight: 1, Machine: "std", Launched: n.launched, Status: n.listed})
+		}
+	}
+	h.inputs = append(h.inputs, coordinator.List{List: l})
+}
+
+// deliver brings publications and acknowledgements whose time has come.
+func (h *host) deliver() {
+	slices.SortStableFunc(h.mails, func(a, b mail) int { return cmp.Compare(a.at, b.at) })
+	n := 0
+	for ; n < len(h.mails) && h.mails[n].at <= h.now; n++ {
+		m := h.mails[n]
+		g := h.gateways[m.gateway]
+		if g.away {
+			continue
+		}
+		if m.ack != nil {
+			h.inputs = append(h.inputs, m.ack)
+			h.acked(g, m.ack.(coordinator.Ack).Version)
+			continue
+		}
+		h.hold(g, m.publish.Snapshot)
+		for d, changed := range m.publish.Changed {
+			if changed {
+				ack := coordinator.Ack{Gateway: g.name, Conn: g.conn, Doc: coordinator.Doc(d), Version: m.publish.Version, Nonce: m.publish.Nonce}
+				h.mails = append(h.mails, mail{h.now + h.e.Fleet.Transit, m.gateway, nil, ack})
+			}
+		}
+	}
+	h.mails = slices.Delete(h.mails, 0, n)
+}
+
+func (h *host) acked(g *gateway, version string) {
+	for i, p := range g.waiting {
+		if p.version == version {
+			for _, done := range g.waiting[:i+1] {
+				h.waiting -= done.lines
+			}
+			g.waiting = g.waiting[i+1:]
+			return
+		}
+	}
+}
+
+// drop forgets what was on its way to a gateway whose link has ended.
+func (h *host) drop(g *gateway) {
+	for _, p := range g.waiting {
+		h.waiting -= p.lines
+	}
+	g.waiting = nil
+}
+
+// hold puts a snapshot in force at a gateway.
+func (h *host) hold(g *gateway, s tables.Snapshot) {
+	if h.spoil != nil {
+		s.Clusters, s.Routes = slices.Clone(s.Clusters), slices.Clone(s.Routes)
+		h.spoil(&s)
+	}
+	g.held, g.heard = s, h.now
+	for k := range s.Clusters {
+		g.open[k], g.halls[k] = g.open[k][:0], 0
+		last := control.Zone("")
+		for _, l := range s.Clusters[k].Lines {
+			if i, known := h.byName[l.Backend]; known && !l.Withheld && l.Weight > 0 {
+				g.open[k] = append(g.open[k], line{i, l.Weight})
+				if l.Zone != last {
+					last = l.Zone
+					g.halls[k]++
+				}
+			}
+		}
+	}
+}
+
+// step steps the core and takes what it wants done.
+func (h *host) step() {
+	inputs := h.inputs
+	h.inputs = nil
+	for _, out := range h.core.Step(h.now, inputs) {
+		switch o := out.(type) {
+		case coordinator.Publish:
+			i := h.gwByName[o.Gateway]
+			g := h.gateways[i]
+			lines := float64(tables.Cost(g.last, o.Snapshot)) + h.set.Up.Channel.Envelope
+			g.waiting = append(g.waiting, posted{o.Version, lines})
+			h.waiting += lines
+			g.last = o.Snapshot
+			g.sent = append(g.sent, h.now)
+			h.judge.sent(g)
+			h.mails = append(h.mails, mail{h.now + h.e.Fleet.Transit, i, &o, nil})
+		case coordinator.Fetch, coordinator.Watch:
+			h.listAt = append([]control.Micros{h.now}, h.listAt...)
+		case coordinator.Probe:
+			if i, known := h.byName[o.Backend]; known {
+				h.inputs = append(h.inputs, coordinator.Probed{Probed: control.Probed{Backend: o.Backend, OK: h.nodes[i].up, Code: "200", Took: 5000}})
+			}
+		case coordinator.Note:
+			h.judge.note(o)
+		}
+	}
+}
+
+// report lets the gateways report whose turn it is: each once a period, spread over it.
+func (h *host) report() {
+	period := h.set.Up.Reports.Period
+	turns := max(1, int(period/tick))
+	now := int((h.now - base) / tick)
+	for i, g := range h.gateways {
+		if g.away || (now+i)%turns != 0 || h.now == base {
+			continue
+		}
+		g.seq++
+		r := coordinator.Report{Gateway: g.name, Conn: g.conn, Seq: g.seq, Interval: period}
+		for k, kind := range h.set.Up.Kinds {
+			one := coordinator.KindReport{Kind: kind.Name, Arrived: int(math.Round(g.arrived[k])), Denied: int(math.Round(g.denied[k])), Errored: int(math.Round(g.errored[k]))}
+			for n := range h.nodes { // in one order
+				s := g.sums[k][n]
+				if s == nil {
+					continue
+				}
+				tries := int(math.Ceil(s.tries - 1e-9))
+				busy := min(1, h.nodes[n].util)
+				one.Endpoints = append(one.Endpoints, coordinator.EndpointReport{Backend: h.nodes[n].name, Tries: tries,
+					Errored: min(tries, int(math.Round(s.errored))), Answer: control.Micros(160_000 / max(0.2, 1.1-busy)),
+					Loads: control.Loads{"busy": busy, "q": max(0, 10*(h.nodes[n].util-1))}})
+			}
+			r.Kinds = append(r.Kinds, one)
+			g.arrived[k], g.denied[k], g.errored[k] = 0, 0, 0
+			clear(g.sums[k])
+		}
+		h.inputs = append(h.inputs, r)
+	}
+}
+
+// warmth is the part of its capacity that a node has.
+func (h *host) warmth(n *node) float64 {
+	r := h.set.Up.Rules
+	if since := h.now - n.launched; n.launched > 0 && since < r.Cold {
+		return r.ColdFrom + (1-r.ColdFrom)*float64(since)/float64(r.Cold)
+	}
+	return 1
+}
+
+// send lets a tick's reqs come and go to nodes by the tables that are held.
+func (h *host) send() {
+	seconds := float64(tick) / float64(second)
+	for _, n := range h.nodes {
+		n.offered = 0
+	}
+	let := func(g *gateway, k int) (came, in float64) {
+		came = g.rates[k] * h.times * seconds
+		in = came
+		if k < len(g.held.Routes) {
+			r := g.held.Routes[k].Away(h.now - g.heard)
+			if in *= r.Share; r.Rate >= 0 {
+				in = min(in, r.Rate*seconds)
+			}
+		}
+		return came, in
+	}
+	for _, g := range h.gateways {
+		for k := range g.rates {
+			_, in := let(g, k)
+			total := 0.0
+			for _, l := range g.open[k] {
+				total += l.weight
+			}
+			for _, l := range g.open[k] {
+				h.nodes[l.node].offered += in * l.weight / total
+			}
+		}
+	}
+	for _, n := range h.nodes {
+		can := mean * h.warmth(n) * seconds
+		n.util = 0.5*n.util + 0.5*n.offered/can
+		n.window = append(n.window, n.offered)
+		if most := max(1, int(h.set.Up.Rules.Fall/tick)); len(n.window) > most {
+			n.window = n.window[1:]
+		}
+	}
+	for _, g := range h.gateways {
+		for k := range g.rates {
+			came, in := let(g, k)
+			g.arrived[k] += came
+			g.denied[k] += came - in
+			total, done := 0.0, 0.0
+			for _, l := range g.open[k] {
+				total += l.weight
+			}
+			for _, l := range g.open[k] {
+				n, tries := h.nodes[l.node], in*l.weight/total
+				good := tries
+				if !n.up || n.failing[k] {
+					good = 0
+				} else if can := mean * h.warmth(n) * seconds; n.offered > can {
+					good *= can / n.offered
+				}
+				s := g.sums[k][l.node]
+				if s == nil {
+					s = &sum{}
+					g.sums[k][l.node] = s
+				}
+				s.tries, s.errored = s.tries+tries, s.errored+tries-good
+				done += good
+			}
+			g.errored[k] += in - done
+			h.judge.served(g, k, came, done)
+		}
+	}
+}
--- /dev/null
+++ b/expect/judge.go
@@ -0,0 +1,278 @@
+package expect
+
+import (
+	"fmt"
+
+	"porthub/control"
+	"porthub/coordinator"
+)
+
+// judge watches a case and keeps the first failure of each expectation.
+type judge struct {
+	h       *host
+	found   []*Failure // by position in That
+	asked   []float64  // of ServedAtLeast
+	done    []float64
+	entered []control.Micros // of Entered and NotEntered: when first, within the time; 0: not
+	where   []string
+}
+
+func newJudge(h *host) *judge {
+	n := len(h.e.That)
+	return &judge{h: h, found: make([]*Failure, n), asked: make([]float64, n), done: make([]float64, n), entered: make([]control.Micros, n),
+		where: make([]string, n)}
+}
+
+// at is the time of the course.
+func (j *judge) at() control.Micros { return j.h.now - base - settle }
+
+// counts tells whether an expectation counts now.
+func (j *judge) counts(t That) bool {
+	return j.at() >= t.From && (t.To == 0 || j.at() <= t.To)
+}
+
+func (j *judge) fail(i int, g *gateway, n *node, kind int, format string, args ...any) {
+	if j.found[i] != nil {
+		return
+	}
+	f := &Failure{Name: j.h.e.Name, Line: j.h.e.That[i].Line, What: j.h.e.That[i].what(), Case: j.h.c.Number, Seed: j.h.e.Seed, At: j.at(),
+		Figure: fmt.Sprintf(format, args...)}
+	if g != nil {
+		f.Gateway = string(g.name)
+	}
+	if n != nil {
+		f.Node = string(n.name)
+	}
+	if kind >= 0 {
+		f.Kind = j.h.set.Up.Kinds[kind].Name
+	}
+	j.found[i] = f
+}
+
+func seconds(m control.Micros) float64 { return float64(m) / float64(second) }
+
+// warmFor tells whether a warm ready node is listed that may serve a kind for a zone's gateways.
+func (j *judge) warmFor(kind int, zone control.Zone) bool {
+	k := j.h.set.Up.Kinds[kind]
+	for _, n := range j.h.nodes {
+		if n.listed != control.Ready || j.h.warmth(n) < 1 || k.OwnZone && n.zone != zone {
+			continue
+		}
+		may := len(k.OnlyZones) == 0
+		for _, z := range k.OnlyZones {
+			may = may || z == n.zone
+		}
+		if may {
+			return true
+		}
+	}
+	return false
+}
+
+// look judges a moment.
+func (j *judge) look() {
+	h := j.h
+	if j.at() < 0 {
+		return
+	}
+	kinds := h.set.Up.Kinds
+	warm := map[control.Zone][]bool{}
+	for _, z := range h.set.Up.Zones {
+		for k := range kinds {
+			warm[z] = append(warm[z], j.warmFor(k, z))
+		}
+	}
+	for _, g := range h.gateways {
+		for k := range kinds {
+			if empty := len(g.open[k]) == 0 && !g.away && warm[g.zone][k]; !empty {
+				g.without[k] = 0
+			} else if g.without[k] == 0 {
+				g.without[k] = h.now
+			}
+		}
+	}
+	for i, t := range h.e.That {
+		if j.found[i] != nil || !j.counts(t) {
+			continue
+		}
+		if t.LoadAtMost > 0 || t.ColdAtMost > 0 {
+			j.loads(i, t)
+			continue
+		}
+		if most := h.set.Up.Rules.QueueCap; t.WaitingMost > 0 && most > 0 && h.waiting > t.WaitingMost*most {
+			j.fail(i, nil, nil, -1, "%.0f lines on their way, %.2f of %.0f", h.waiting, h.waiting/most, most)
+		}
+		for _, g := range h.gateways {
+			if g.away || t.Zone != "" && g.zone != t.Zone {
+				continue
+			}
+			j.gateway(i, t, g)
+		}
+	}
+}
+
+func (j *judge) gateway(i int, t That, g *gateway) {
+	h := j.h
+	for k, kind := range h.set.Up.Kinds {
+		if t.Kind != "" && t.Kind != kind.Name {
+			continue
+		}
+		open := len(g.open[k])
+		switch {
+		case t.NeverWithout > 0 && g.without[k] > 0 && h.now-g.without[k] > t.NeverWithout:
+			j.fail(i, g, nil, k, "no line for %.2f s", seconds(h.now-g.without[k]))
+		case t.NodesAtLeast > 0 && open < t.NodesAtLeast:
+			j.fail(i, g, nil, k, "%d nodes", open)
+		case t.NodesAtMost > 0 && open > t.NodesAtMost:
+			j.fail(i, g, nil, k, "%d nodes", open)
+		case t.HallsAtLeast > 0 && g.halls[k] < t.HallsAtLeast:
+			j.fail(i, g, nil, k, "%d halls", g.halls[k])
+		case t.RepeatAtMost > 0 && k < len(g.held.Routes) && g.held.Routes[k].SecondTry > t.RepeatAtMost:
+			j.fail(i, g, nil, k, "second tries by order %d", g.held.Routes[k].SecondTry)
+		case t.DrainedWithin > 0:
+			for _, l := range g.open[k] {
+				n := h.nodes[l.node]
+				if n.closed > 0 && h.now-max(n.closed, g.joinedAt) > t.DrainedWithin {
+					j.fail(i, g, n, k, "still open %.2f s after the list told", seconds(h.now-max(n.closed, g.joinedAt)))
+				}
+			}
+		}
+	}
+}
+
+// loads judges what is offered to nodes, over the span in which a cold one falls over.
+func (j *judge) loads(i int, t That) {
+	h := j.h
+	for _, n := range h.nodes {
+		if !n.up || len(n.window) == 0 {
+			continue
+		}
+		offered := 0.0
+		for _, x := range n.window {
+			offered += x
+		}
+		warmth := h.warmth(n)
+		can := mean * warmth * seconds(tick) * float64(len(n.window))
+		switch {
+		case t.LoadAtMost > 0 && warmth == 1 && offered > t.LoadAtMost*can:
+			j.fail(i, nil, n, -1, "offered %.2f of what it can do", offered/can)
+		case t.ColdAtMost > 0 && warmth < 1 && j.knew(n) && offered > t.ColdAtMost*h.set.Up.Rules.TipMultiple*can:
+			j.fail(i, nil, n, -1, "offered %.2f of what pushes it over, %.1f s after its start", offered/can/h.set.Up.Rules.TipMultiple, seconds(h.now-n.launched))
+		}
+	}
+}
+
+// knew tells whether the list has named a node's start for the grace, and what falls over has come since: of what came
+// before, nobody could have known.
+func (j *judge) knew(n *node) bool {
+	r := j.h.set.Up.Rules
+	return n.started == n.launched && j.h.now-n.named > r.DrainGrace+r.Fall
+}
+
+// sent judges a publication to a gateway.
+func (j *judge) sent(g *gateway) {
+	span := j.h.set.Up.Rules.MessageSpan
+	n := 0
+	for _, at := range g.sent {
+		if j.h.now-at <= span {
+			n++
+		}
+	}
+	for i, t := range j.h.e.That {
+		if t.MessagesMost > 0 && j.counts(t) && n > t.MessagesMost && (t.Zone == "" || t.Zone == g.zone) {
+			j.fail(i, g, nil, -1, "%d messages in %.0f s", n, seconds(span))
+		}
+	}
+}
+
+func (j *judge) served(g *gateway, kind int, came, done float64) {
+	for i, t := range j.h.e.That {
+		if t.ServedAtLeast > 0 && j.counts(t) && (t.Kind == "" || t.Kind == j.h.set.Up.Kinds[kind].Name) && (t.Zone == "" || t.Zone == g.zone) {
+			j.asked[i], j.done[i] = j.asked[i]+came, j.done[i]+done
+		}
+	}
+}
+
+func (j *judge) note(n coordinator.Note) {
+	if n.Event != "service_level" {
+		return
+	}
+	to := ""
+	for _, f := range n.Fields {
+		if f.Key == "to" {
+			to, _ = f.Value.(string)
+		}
+	}
+	for i, t := range j.h.e.That {
+		if to != "" && to == t.Entered+t.NotEntered && j.counts(t) && j.entered[i] == 0 {
+			j.entered[i], j.where[i] = j.at()+1, n.Text
+		}
+	}
+}
+
+// close judges what is known at the end only.
+func (j *judge) close() (out []Failure) {
+	for i, t := range j.h.e.That {
+		switch {
+		case t.ServedAtLeast > 0 && j.asked[i] > 0 && j.done[i] < t.ServedAtLeast*j.asked[i]:
+			j.fail(i, nil, nil, -1, "%.3f served", j.done[i]/j.asked[i])
+			if t.Kind != "" {
+				j.found[i].Kind = t.Kind
+			}
+		case t.Entered != "" && j.entered[i] == 0:
+			j.fail(i, nil, nil, -1, "it was not")
+		case t.NotEntered != "" && j.entered[i] > 0:
+			j.fail(i, nil, nil, -1, "%s at %.2f s", j.where[i], seconds(j.entered[i]))
+		}
+		if j.found[i] != nil {
+			out = append(out, *j.found[i])
+		}
+	}
+	return out
+}
+
+// Shrink looks for a smaller case that fails the same expectation, and says so in the failure: half the nodes, half the
+// gateways, one event less, as long as it still fails. It stops after so many tries.
+func (e Expectation) Shrink(set coordinator.Settings, c Case, f Failure, tries int) Failure {
+	begun := c
+	for smaller := true; smaller && tries > 0; {
+		smaller = false
+		var next []Case
+		for _, part := range []int{2, 4} {
+			if n := c.Nodes - c.Nodes/part; n < c.Nodes && n >= len(set.Up.Zones) {
+				one := c
+				one.Nodes = n
+				next = append(next, one)
+			}
+			if n := c.Gateways - c.Gateways/part; n < c.Gateways && n >= 1 {
+				one := c
+				one.Gateways = n
+				next = append(next, one)
+			}
+		}
+		for i := range c.Course {
+			one := c
+			one.Course = append(append([]Event(nil), c.Course[:i]...), c.Course[i+1:]...)
+			next = append(next, one)
+		}
+		for _, one := range next {
+			if tries--; tries < 0 {
+				break
+			}
+			for _, g := range e.Run(set, one) {
+				if g.Line == f.Line {
+					g.Case, g.Seed = f.Case, f.Seed
+					f, c, smaller = g, one, true
+					break
+				}
+			}
+			if smaller {
+				break
+			}
+		}
+	}
+	if c.Nodes != begun.Nodes || c.Gateways != begun.Gateways || len(c.Course) != len(begun.Course) {
+		f.Small = c.String()
+	}
+	return f
+}
