porthub top: the operators' screen, live or through a capture

Need: at night operators want one screen that tells what goes on, and to go back through what was.

Change: desk/ on bubbletea: fleet by hall and kind, nodes, gateways, levels, log, one node's why; sort, filter, pause; captures second by second. coordinator.Overview, GET /overview: made once a second at most and with a hundredth of the loop's time, whoever asks.

Result: nine recorded sessions at 80 by 24 compared as text; no line too wide and none too many at four sizes with 1,000 nodes and names in several scripts (found: columns to the right were counted the wrong way, heads one cell too wide); a coordinator that dies leaves what was known, with its age; two overviews at most in half a second of asking.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,10 @@
 	writer *capture.Writer         // nil: no capture
 	took   *hdrhistogram.Histogram // steps of the core, microseconds; of the loop's goroutine
 
-	stretch      atomic.Int64 // how much longer than a period reports may wait
+	stretch      atomic.Int64         // how much longer than a period reports may wait
+	tail         []coordinator.Record // of the log; of the loop's goroutine
+	overview     []byte               // the last one that was made, and when the next may be
+	overviewAt   time.Time
 	rememberedAt control.Micros
 	cantSave     bool // of the goroutine that saves
 	cantCapture  bool
@@ -287,6 +290,9 @@
 
 // record writes a note as one log record with its fields.
 func (d *Daemon) record(n coordinator.Note) {
+	if n.Level > coordinator.Debug {
+		d.tail = coordinator.Tail(d.tail, d.core.Now(), n)
+	}
 	fields := []zap.Field{zap.String("text", n.Text)}
 	if n.Gateway != "" {
 		fields = append(fields, zap.String("gateway", string(n.Gateway)))
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -532,3 +533,33 @@
 		return s.Joined && s.Since > since
 	})
 }
+
+// However many look, an overview is made once a second at most; it has nodes, gateways and the log's tail.
+func TestOverview(t *testing.T) {
+	r := newRig(t, nil)
+	g := r.gateway("gw-1", "a")
+	r.until("a table", func() bool { g.turn(t); return g.held.EndpointsFrom != "" })
+	ask := func() coordinator.Moment {
+		res, err := http.Get("http://" + r.d.Addr() + "/overview")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		var m coordinator.Moment
+		if err := json.NewDecoder(res.Body).Decode(&m); err != nil {
+			t.Fatal(err)
+		}
+		return m
+	}
+	r.until("an overview with the gateway's lines", func() bool {
+		m := ask()
+		return len(m.Nodes) == 3 && len(m.Gateways) == 1 && m.Gateways[0].Lines > 0 && m.Nodes[0].Senders == 1
+	})
+	began, made := time.Now(), map[control.Micros]bool{}
+	for time.Since(began) < 500*time.Millisecond {
+		made[ask().Now] = true
+	}
+	if len(made) > 2 {
+		t.Errorf("%d overviews in half a second", len(made))
+	}
+}
--- a/daemon/nodes.go
+++ b/daemon/nodes.go
@@ -98,3 +98,18 @@
 	return text(Heard{c.Now(), stats, d.server.deferred.Load(), d.inbox.len(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
 		d.took.Max()}, nodes})
 }
+
+// overviewPart of the loop's time at most goes into overviews, whoever asks and how often; a second at least lies between two.
+const overviewPart = 0.01
+
+// look answers with an overview: a new one if one may be made, else the last.
+func (d *Daemon) look(c *coordinator.Core) []byte {
+	began := time.Now()
+	if began.Before(d.overviewAt) {
+		return d.overview
+	}
+	d.overview = text(coordinator.Moment{Overview: c.Overview(), Log: d.tail})
+	took := time.Since(began)
+	d.overviewAt = began.Add(max(time.Second, time.Duration(float64(took)/overviewPart)))
+	return d.overview
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -310,6 +310,10 @@
 		if !s.d.inbox.offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
+	case req.Method == http.MethodGet && req.URL.Path == "/overview":
+		if !s.d.inbox.press(event{query: s.d.look, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+			fail(http.StatusServiceUnavailable, "busy")
+		}
 	case req.Method == http.MethodGet && req.URL.Path == "/intake":
 		if !s.d.inbox.press(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
--- /dev/null
+++ b/desk/desk_test.go
@@ -0,0 +1,173 @@
+package desk
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	tea "charm.land/bubbletea/v2"
+	"github.com/charmbracelet/x/ansi"
+
+	"porthub/control"
+	"porthub/coordinator"
+	"porthub/intake"
+	"porthub/service"
+)
+
+var update = flag.Bool("update", false, "write the sessions anew")
+
+// fixed is a source that gives one moment, or fails.
+type fixed struct {
+	moment Moment
+	err    error
+}
+
+func (f *fixed) Look() (Moment, error) { return f.moment, f.err }
+func (f *fixed) Move(int) bool         { return false }
+func (f *fixed) Name() string          { return "127.0.0.1:7070" }
+
+const second control.Micros = 1_000_000
+
+// night is a fleet on a bad night: a hall lost, a node that fails a kind, a gateway away, a level in force.
+func night(nodes int) Moment {
+	zones := []control.Zone{"hala-a", "hala-b", "hala-ż-北"}
+	m := Moment{Overview: coordinator.Overview{Now: 5000 * second, Began: 1000 * second, Build: "test", Kinds: []string{"schedule", "save-sim"}, OnWay: 120, Limit: 8000,
+		Intake: intake.Stats{Reports: 4321, Part: 0.5, Live: 14, Stopped: 1, Heard: 0.98}}}
+	for i := range nodes {
+		n := coordinator.NodeOverview{Node: control.Backend(fmt.Sprintf("10.0.0.%d:8080", i)), Zone: zones[i%3], State: "ready", Since: 1200 * second, Warmth: 1, Capacity: 20,
+			Tries: float64(i), Util: float64(i%10) / 10, Queue: 0.5, Heard: 4999 * second, Senders: 5}
+		switch {
+		case i%3 == 1:
+			n.State, n.Why, n.Senders, n.Heard = "gone", "the file dropped it", 0, 0
+		case i == 3:
+			n.Fails, n.Errored = []string{"schedule"}, 2.5
+		case i == 5:
+			n.Warmth = 0.4
+		case i == 6:
+			n.Node = "węzeł-o-bardzo-długiej-nazwie-北京市朝阳区-calc\x1b[31m.example:8080"
+		}
+		m.Nodes = append(m.Nodes, n)
+	}
+	for i := range 15 {
+		g := coordinator.GatewayOverview{Gateway: coordinator.Gateway(fmt.Sprintf("gw-%d", i)), Zone: zones[i%3], Joined: i != 4, Heard: 4999 * second, Version: fmt.Sprintf("k3f.%d", 40+i),
+			Usage: float64(3 * i), Lines: 18, Level: "tight"}
+		if i == 7 {
+			g.Waiting, g.Oldest = 2, 1_400_000
+		}
+		m.Gateways = append(m.Gateways, g)
+	}
+	for _, z := range zones {
+		for _, k := range m.Kinds {
+			m.Traffic = append(m.Traffic, coordinator.Traffic{Zone: z, Kind: k, Asked: 50, Let: 40, Nodes: 12})
+		}
+	}
+	m.Levels = coordinator.Levels{Now: m.Now, Levels: []string{"usual", "tight"}, Standings: []service.Standing{{Level: 1, Name: "tight", Since: 4900 * second,
+		Why: "lost 0.33, it is entered at 0.30", Ends: []string{"lost is 0.33 and must be at 0.10"}}, {Zone: zones[0], Name: "usual"}},
+		Words: []service.Word{{ID: 2, Do: service.Forbid, Level: 1, Until: 5600 * second, Reason: "noon"}}}
+	m.Log = []Record{{At: 4900 * second, Level: "warn", Event: "service_level", Text: "the fleet: usual to tight: lost 0.33"},
+		{At: 4990 * second, Level: "info", Event: "solver", Text: "10.0.0.3:8080 fails kind schedule", Of: "10.0.0.3:8080"}}
+	return m
+}
+
+// play looks once and types the keys given.
+func play(source Source, keys ...string) Model {
+	var m tea.Model = New(source, time.Second)
+	m, _ = m.Update(m.(Model).Init()())
+	for _, k := range keys {
+		msg := tea.KeyPressMsg{Text: k, Code: []rune(k)[0]}
+		for name, code := range map[string]rune{"enter": tea.KeyEnter, "tab": tea.KeyTab, "down": tea.KeyDown, "pgdown": tea.KeyPgDown, "esc": tea.KeyEscape,
+			"right": tea.KeyRight, "left": tea.KeyLeft, "backspace": tea.KeyBackspace} {
+			if k == name {
+				msg = tea.KeyPressMsg{Code: code}
+			}
+		}
+		var cmd tea.Cmd
+		if m, cmd = m.Update(msg); cmd != nil {
+			m, _ = m.Update(cmd())
+		}
+	}
+	return m.(Model)
+}
+
+// Each screen, as it is at 80 by 24 without colour.
+func TestScreens(t *testing.T) {
+	for name, keys := range map[string][]string{
+		"fleet": nil, "nodes": {"2", "s"}, "node": {"2", "/", "0", ".", "3", ":", "enter", "enter"}, "gateways": {"3", "s", "s", "down"},
+		"levels": {"4"}, "log": {"5"}, "filter": {"3", "/", "a", "w", "a", "y"}, "back": {"2", "enter", "tab"}, "scrolled": {"2", "pgdown", "pgdown", "down"},
+	} {
+		got := ansi.Strip(play(&fixed{moment: night(60)}, keys...).Draw(time.Time{}))
+		path := filepath.Join("testdata", name+".txt")
+		if *update {
+			if err := os.WriteFile(path, []byte(got+"\n"), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got+"\n" != string(want) {
+			t.Errorf("%s is not as recorded:\n%s", name, got)
+		}
+	}
+}
+
+// Whatever the size and however many nodes, no line is wider than the terminal, there are as many as it has, and the chosen row
+// is among them.
+func TestEverySize(t *testing.T) {
+	source := &fixed{moment: night(1000)}
+	for _, size := range [][2]int{{80, 24}, {40, 10}, {200, 60}, {81, 11}} {
+		for _, keys := range [][]string{nil, {"2", "pgdown", "pgdown", "down"}, {"3"}, {"4"}, {"5"}, {"2", "enter"}} {
+			m := play(source, keys...)
+			next, _ := m.Update(tea.WindowSizeMsg{Width: size[0], Height: size[1]})
+			text := ansi.Strip(next.(Model).Draw(time.Time{}))
+			lines := strings.Split(text, "\n")
+			if len(lines) != size[1] {
+				t.Errorf("%v %v: %d lines", size, keys, len(lines))
+			}
+			for _, l := range lines {
+				if ansi.StringWidth(l) > size[0] {
+					t.Errorf("%v %v: %d wide: %q", size, keys, ansi.StringWidth(l), l)
+				}
+			}
+			if len(keys) > 1 && keys[1] == "pgdown" && !strings.Contains(text, "\n>") {
+				t.Errorf("%v: the chosen row is not to be seen:\n%s", size, text)
+			}
+		}
+	}
+}
+
+// A coordinator that dies while it is looked at: what was known stays, and it says since when there is no answer.
+func TestDeadCoordinator(t *testing.T) {
+	source := &fixed{moment: night(9)}
+	var m tea.Model = play(source)
+	source.err = errors.New("connection refused")
+	m, _ = m.Update(m.(Model).look()())
+	text := m.(Model).Draw(m.(Model).since.Add(42 * time.Second))
+	if !strings.Contains(text, "NO ANSWER for 42s: connection refused") || !strings.Contains(text, "hala-a") {
+		t.Errorf("%s", text)
+	}
+	if text := play(&fixed{err: errors.New("connection refused")}).Draw(time.Time{}); !strings.Contains(text, "NO ANSWER: connection refused") {
+		t.Errorf("%s", text)
+	}
+	if text := play(NewLive("127.0.0.1:1")).Draw(time.Time{}); !strings.Contains(text, "NO ANSWER") {
+		t.Errorf("%s", text)
+	}
+}
+
+// A recorded course is gone through by its seconds, no further than its ends.
+func TestRecorded(t *testing.T) {
+	r := NewRecorded("capture", []Moment{night(3), night(6), night(9)})
+	m := play(r, "right", "right", "right", "left")
+	if text := ansi.Strip(m.Draw(time.Time{})); !strings.Contains(text, "second 2 of 3") || !strings.Contains(text, "6 nodes") {
+		t.Errorf("%s", text)
+	}
+	if text := play(NewRecorded("empty", nil)).Draw(time.Time{}); !strings.Contains(text, "holds no second") {
+		t.Errorf("%s", text)
+	}
+}
