--- a/cmd/porthub/capture.go
+++ b/cmd/porthub/capture.go
@@ -50,7 +50,7 @@
 			return damages(cmd.OutOrStdout(), r.Damages)
 		},
 	}
-	status.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(status, &asJSON)
 	export := &cobra.Command{
 		Use:   "export DIR",
 		Short: "Every record as a line of JSON",
@@ -171,7 +171,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(cmd, &asJSON)
 	return cmd
 }
 
@@ -228,7 +228,7 @@
 	}
 	cmd.Flags().StringVar(&node, "node", "", "address of the node, as the list has it")
 	cmd.Flags().StringVar(&at, "at", "-0s", "RFC 3339, microseconds since 1970, +SECONDS after the first record or -SECONDS before the last")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(cmd, &asJSON)
 	_ = cmd.MarkFlagRequired("node")
 	return cmd
 }
--- a/cmd/porthub/commands.go
+++ b/cmd/porthub/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -128,7 +127,8 @@
 }
 
 func tablesCommand() *cobra.Command {
-	var addr, output, only string
+	var addr, only string
+	var asJSON bool
 	cmd := &cobra.Command{
 		Use:   "tables",
 		Short: "Show what each gateway was given, what it has confirmed, and since when",
@@ -151,14 +151,8 @@
 			if only != "" && len(shown) == 0 {
 				return fmt.Errorf("no gateway %q has ever joined: it may be misspelt, or be another coordinator's", only)
 			}
-			switch output {
-			case "json":
-				e := json.NewEncoder(cmd.OutOrStdout())
-				e.SetIndent("", "  ")
-				return e.Encode(shown)
-			case "table":
-			default:
-				return fmt.Errorf("--output %q: it must be table or json", output)
+			if asJSON {
+				return printAny(cmd.OutOrStdout(), shown)
 			}
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
 			fmt.Fprintln(w, "GATEWAY\tZONE\tJOINED\tGIVEN\tCONFIRMED\tAGE\tWAITING\tOPEN LINES")
@@ -179,7 +173,7 @@
 	}
 	cmd.PersistentFlags().StringVar(&addr, "addr", "127.0.0.1:7070", "address of the coordinator")
 	cmd.AddCommand(versionCommands(&addr)...)
-	cmd.Flags().StringVarP(&output, "output", "o", "table", "table or json")
+	outputFlag(cmd, &asJSON)
 	cmd.Flags().StringVar(&only, "gateway", "", "only this gateway")
 	return cmd
 }
--- a/cmd/porthub/drill.go
+++ b/cmd/porthub/drill.go
@@ -148,7 +148,7 @@
 	cmd.Flags().IntVar(&seconds, "seconds", 0, "length; 0: the scenario's own")
 	cmd.Flags().StringVar(&front, "front", "files", "how tables reach gateways: files, poll (long polls, by deltas) or both (gateways take turns)")
 	cmd.Flags().StringVar(&rule, "break-rule", "", "spoil one thing on the way so that this rule must be found broken")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(cmd, &asJSON)
 	cmd.Flags().BoolVar(&list, "list", false, "list scenarios and troubles")
 	cmd.Flags().BoolVar(&baselines, "baselines", true, "run the baselines beside it, same seed")
 	cmd.Flags().StringVar(&source, "source", "", "where the node list comes from: file or eureka; empty: as the scenario has it")
--- a/cmd/porthub/expect.go
+++ b/cmd/porthub/expect.go
@@ -29,7 +29,8 @@
 const shrinkTries = 40
 
 func expectCommand() *cobra.Command {
-	var path, junit, output string
+	var path, junit string
+	var asJSON bool
 	var seed, number int
 	cmd := &cobra.Command{Use: "expect -c CONFIG [FILES]", Short: "Prove expectations of routing without traffic",
 		Long: `expect runs what is written in FILES through the coordinator's core with fed time: no sockets, no traffic. Without FILES it takes
@@ -39,9 +40,6 @@
   porthub expect -c porthub.json night.expect.json --case 17 --seed 4
   porthub expect -c porthub.json --junit report.xml`,
 		RunE: func(cmd *cobra.Command, files []string) error {
-			if output != "table" && output != "json" {
-				return fmt.Errorf("--output %q: it must be table or json", output)
-			}
 			cfg, err := config.Load(path)
 			if err != nil {
 				return err
@@ -72,7 +70,7 @@
 					return err
 				}
 			}
-			if output == "json" {
+			if asJSON {
 				err = printAny(cmd.OutOrStdout(), all)
 			} else {
 				printProven(cmd.OutOrStdout(), all)
@@ -89,7 +87,7 @@
 	cmd.Flags().IntVar(&number, "case", -1, "only this case; -1: all")
 	cmd.Flags().IntVar(&seed, "seed", 0, "in place of the files' own")
 	cmd.Flags().StringVar(&junit, "junit", "", "write a JUnit report to this file")
-	cmd.Flags().StringVar(&output, "output", "table", "table or json")
+	outputFlag(cmd, &asJSON)
 	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
--- a/cmd/porthub/levels.go
+++ b/cmd/porthub/levels.go
@@ -21,20 +21,21 @@
 )
 
 func levelsCommand() *cobra.Command {
-	var addr, output string
+	var addr string
+	var asJSON bool
 	cmd := &cobra.Command{Use: "levels", Short: "Show levels of service: now, since when, why, what would end them, who has them", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var l coordinator.Levels
 			if err := ask(cmd, addr, "/levels", nil, &l); err != nil {
 				return err
 			}
-			if output == "json" {
+			if asJSON {
 				return printAny(cmd.OutOrStdout(), l)
 			}
 			return printLevels(cmd.OutOrStdout(), l)
 		}}
 	cmd.PersistentFlags().StringVar(&addr, "addr", "127.0.0.1:7070", "the coordinator's address")
-	cmd.Flags().StringVar(&output, "output", "table", "table or json")
+	outputFlag(cmd, &asJSON)
 	cmd.AddCommand(levelSetCommand(&addr), levelClearCommand(&addr), levelSimulateCommand())
 	return cmd
 }
--- a/cmd/porthub/nodes.go
+++ b/cmd/porthub/nodes.go
@@ -44,7 +44,7 @@
 	}
 	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:7070", "address of the coordinator")
 	cmd.Flags().StringVar(&node, "node", "", "this one alone")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(cmd, &asJSON)
 	return cmd
 }
 
--- a/cmd/porthub/solve.go
+++ b/cmd/porthub/solve.go
@@ -76,7 +76,7 @@
 	}
 	cmd.Flags().IntVar(&random, "random", 0, "draw so many fleets")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "of the draws")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	outputFlag(cmd, &asJSON)
 	cmd.Flags().BoolVar(&explain, "explain", false, "say for each node and kind what was done and why")
 	cmd.Flags().BoolVar(&oracle, "oracle", false, "find the exact optimum of each drawn fleet as well")
 	cmd.Flags().BoolVar(&compare, "compare", false, "fill the same fleets by even weights, by capacity and as wanted")
--- a/config/config.go
+++ b/config/config.go
@@ -40,6 +40,14 @@
 	Capture     Capture     `json:"capture"`
 	Recovery    Recovery    `json:"recovery"`
 	Service     Service     `json:"service"`
+	Trace       Trace       `json:"trace"`
+}
+
+// Trace follows orders to their acknowledgement, as OpenTelemetry spans. With neither file nor endpoint it is off.
+type Trace struct {
+	File     string  `json:"file"`     // spans are added to it, one JSON object a line
+	Endpoint string  `json:"endpoint"` // address and port that takes OTLP over HTTP
+	Part     float64 `json:"part"`     // of the steps that are followed, 0 to 1
 }
 
 // Coordinator is this instance among its like.
@@ -304,6 +312,7 @@
 		Gateways: Gateways{Expected: 1, ShunAfter: 5,
 			SilentAfter: 5 * s},
 		Probes:   Probes{Allowed: true, Path: "/healthz", Timeout: 250 * ms, AtOnce: 8},
+		Trace:    Trace{Part: 1},
 		Levels:   "rate",
 		Solver:   Solver{Enabled: true},
 		Limits:   Limits{Connections: 30000, PerAddress: 30000},
@@ -473,6 +482,13 @@
 	need(c.Limits.Connections > 0 && c.Limits.PerAddress > 0 && c.Limits.Requests >= 0, "limits",
 		fmt.Sprintf("has %d connections, %d from an address, %d requests", c.Limits.Connections, c.Limits.PerAddress, c.Limits.Requests),
 		"connections must be 1 or more, requests 0 or more")
+	need(c.Trace.Part >= 0 && c.Trace.Part <= 1, "trace.part", fmt.Sprintf("is %v", c.Trace.Part), "0 to 1")
+	if c.Trace.Endpoint != "" {
+		host, _, err := net.SplitHostPort(c.Trace.Endpoint)
+		ip := net.ParseIP(host)
+		need(err == nil && ip != nil && ip.IsLoopback(), "trace.endpoint", fmt.Sprintf("%q is no loopback address and port", c.Trace.Endpoint),
+			`such as "127.0.0.1:4318": spans go out without authentication`)
+	}
 	need(slices.Contains([]string{"rate", "share", "off"}, c.Levels), "levels", fmt.Sprintf("is %q", c.Levels), "it must be rate, share or off")
 	need(slices.Contains([]string{"debug", "info", "warn", "error"}, c.LogLevel), "log_level",
 		fmt.Sprintf("is %q", c.LogLevel), "it must be debug, info, warn or error")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,9 +59,11 @@
 	took   *hdrhistogram.Histogram // steps of the core, microseconds; of the loop's goroutine
 
 	stretch      atomic.Int64         // how much longer than a period reports may wait
+	tracer       *tracer              // nil: off
 	tail         []coordinator.Record // of the log; of the loop's goroutine
 	overview     []byte               // the last one that was made, and when the next may be
 	overviewAt   time.Time
+	came         time.Time // when the first input of this step came; zero: not known
 	rememberedAt control.Micros
 	cantSave     bool // of the goroutine that saves
 	cantCapture  bool
@@ -102,6 +104,7 @@
 
 // event is what the loop takes in at a time.
 type event struct {
+	at     time.Time // when it was put in; zero where tracing is off
 	inputs []coordinator.Input
 	query  func(*coordinator.Core) []byte // instead of inputs: answered from the core's state
 	reply  func([]byte)                   // called after the step; what query returned, or nil
@@ -112,7 +115,7 @@
 
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(o.Config.Limits.Connections),
+	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(o.Config.Limits.Connections, o.Config.Trace != config.Trace{Part: o.Config.Trace.Part}),
 		saves: make(chan any, 1), snaps: make(chan any, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
 	if d.clock == nil {
 		d.clock = NewClock()
@@ -150,6 +153,10 @@
 	}
 	d.front = front
 	d.hub = poll.NewHub(o.Config.Front.Poll.Most, o.Config.Front.Poll.Keep)
+	if d.tracer, err = newTracer(o.Config.Trace); err != nil {
+		front.Close()
+		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
+	}
 	version := control.Version(0)
 	if o.Config.Registry.File.Path != "" {
 		d.source = file.New(o.Config.Registry.File.Path, time.Duration(o.Config.Registry.File.Poll)*time.Microsecond,
@@ -227,6 +234,12 @@
 			inputs = append(inputs, e.inputs...)
 		}
 		began := time.Now()
+		d.came = time.Time{}
+		for _, e := range events {
+			if !e.at.IsZero() && (d.came.IsZero() || e.at.Before(d.came)) {
+				d.came = e.at
+			}
+		}
 		d.step(inputs)
 		for _, e := range events {
 			var answer []byte
@@ -250,6 +263,9 @@
 	outputs := d.core.Step(now, inputs)
 	_ = d.took.RecordValue(max(1, time.Since(began).Microseconds()))
 	d.captureStep(now, inputs, outputs)
+	if d.tracer != nil {
+		d.tracer.step(d.came, began, d.core, inputs, outputs)
+	}
 	urgent := false
 	for _, out := range outputs {
 		switch o := out.(type) {
@@ -326,6 +342,9 @@
 			d.capture(&capture.Record{End: &capture.End{Steps: d.core.Steps()}})
 			d.writer.Close()
 		}
+		if d.tracer != nil {
+			d.tracer.close(endWithin / 2)
+		}
 		if d.cfg.StateDir != "" {
 			_ = writeSnapshot(d.cfg.StateDir, d.core.Remember())
 		}
--- a/daemon/inbox.go
+++ b/daemon/inbox.go
@@ -19,6 +19,14 @@
 	asleep        atomic.Bool  // the loop is about to wait, or waits, for the bell
 	bell          chan struct{}
 	closed        atomic.Bool
+	timed         bool
+}
+
+func (b *inbox) stamp(e event) event {
+	if b.timed {
+		e.at = time.Now()
+	}
+	return e
 }
 
 // urgentLength bounds the urgent lane, plainLength is the least bound of the plain one, and batchMost is what the core takes at
@@ -33,14 +41,16 @@
 // acknowledges is turned away for what others have sent. (At ten thousand gateways a step of half a second filled 8,192 places,
 // and those that found none came a second later: drains were at 171% of the grace.) Reports are put off long before,
 // by package intake.
-func newInbox(connections int) *inbox {
-	return &inbox{urgent: xsync.NewMPMCQueue[event](urgentLength), plain: xsync.NewMPMCQueue[event](max(plainLength, connections)),
+//
+// Timed: events are stamped, for tracing.
+func newInbox(connections int, timed bool) *inbox {
+	return &inbox{timed: timed, urgent: xsync.NewMPMCQueue[event](urgentLength), plain: xsync.NewMPMCQueue[event](max(plainLength, connections)),
 		bell: make(chan struct{}, 1)}
 }
 
 // offer puts an event in if there is room.
 func (b *inbox) offer(e event) bool {
-	if !b.plain.TryEnqueue(e) {
+	if !b.plain.TryEnqueue(b.stamp(e)) {
 		return false
 	}
 	b.waiting.Add(1)
@@ -50,7 +60,7 @@
 
 // press puts an event into the urgent lane if there is room.
 func (b *inbox) press(e event) bool {
-	if !b.urgent.TryEnqueue(e) {
+	if !b.urgent.TryEnqueue(b.stamp(e)) {
 		return false
 	}
 	b.wake()
--- a/daemon/inbox_test.go
+++ b/daemon/inbox_test.go
@@ -14,7 +14,7 @@
 // woken for each, however they meet.
 func TestInboxLosesNothing(t *testing.T) {
 	const producers, each = 8, 20000
-	b := newInbox(0)
+	b := newInbox(0, false)
 	var all sync.WaitGroup
 	for p := range producers {
 		all.Add(1)
@@ -57,7 +57,7 @@
 
 // A full plain lane refuses, and what is urgent still gets in and is taken first; a closed inbox keeps nobody.
 func TestInboxLanes(t *testing.T) {
-	b := newInbox(0)
+	b := newInbox(0, false)
 	n := 0
 	for b.offer(event{inputs: []coordinator.Input{n}}) {
 		n++
@@ -78,7 +78,7 @@
 
 func BenchmarkInbox(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
-	box := newInbox(0)
+	box := newInbox(0, false)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- /dev/null
+++ b/daemon/trace.go
@@ -0,0 +1,171 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"porthub/config"
+	"porthub/coordinator"
+)
+
+// tracer follows orders from the input that brought them to the gateway's acknowledgement, as OpenTelemetry spans: a step with
+// what it was told, and below it each publication, which ends when the gateway says that it holds it. Only the goroutine that
+// owns the core uses it.
+type tracer struct {
+	provider *sdktrace.TracerProvider
+	tracer   trace.Tracer
+	open     map[coordinator.Gateway][]published
+	count    int
+	file     *os.File
+}
+
+// published is a publication on its way.
+type published struct {
+	version string
+	left    [2]bool // documents that are not acknowledged
+	span    trace.Span
+}
+
+// tracesMost bounds the publications that are followed at a time; more are not followed.
+const tracesMost = 20000
+
+// newTracer makes one as the settings say; nil: tracing is off.
+func newTracer(c config.Trace) (*tracer, error) {
+	if c.File == "" && c.Endpoint == "" {
+		return nil, nil
+	}
+	t := &tracer{open: map[coordinator.Gateway][]published{}}
+	options := []sdktrace.TracerProviderOption{sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(c.Part))),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "porthub"), attribute.String("service.version", Build())))}
+	if c.File != "" {
+		f, err := os.OpenFile(c.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, err
+		}
+		to, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		if err != nil {
+			return nil, err
+		}
+		t.file = f
+		options = append(options, sdktrace.WithBatcher(to))
+	}
+	if c.Endpoint != "" {
+		to, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(c.Endpoint), otlptracehttp.WithInsecure(),
+			otlptracehttp.WithTimeout(2*time.Second))
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, sdktrace.WithBatcher(to))
+	}
+	t.provider = sdktrace.NewTracerProvider(options...)
+	t.tracer = t.provider.Tracer("porthub")
+	return t, nil
+}
+
+// step follows a step: acknowledgements end what they confirm, publications begin.
+func (t *tracer) step(came, began time.Time, core *coordinator.Core, inputs []coordinator.Input, outputs []coordinator.Output) {
+	for _, in := range inputs {
+		switch in := in.(type) {
+		case coordinator.Ack:
+			t.acked(in)
+		case coordinator.Leave:
+			t.drop(in.Gateway, "the link has ended")
+		}
+	}
+	var publishes []coordinator.Publish
+	for _, o := range outputs {
+		if p, is := o.(coordinator.Publish); is {
+			publishes = append(publishes, p)
+		}
+	}
+	if len(publishes) == 0 {
+		return
+	}
+	if came.IsZero() {
+		came = began
+	}
+	told := map[string]int{}
+	for _, in := range inputs {
+		told[strings.TrimPrefix(fmt.Sprintf("%T", in), "coordinator.")]++
+	}
+	attributes := []attribute.KeyValue{attribute.Int64("step", int64(core.Steps())), attribute.Int("orders", len(core.Orders())),
+		attribute.Int("publications", len(publishes)), attribute.Int64("inbox_wait_us", began.Sub(came).Microseconds())}
+	for kind, n := range told {
+		attributes = append(attributes, attribute.Int("told."+kind, n))
+	}
+	ctx, span := t.tracer.Start(context.Background(), "step", trace.WithTimestamp(came), trace.WithAttributes(attributes...))
+	for _, p := range publishes {
+		if t.count >= tracesMost {
+			break
+		}
+		_, one := t.tracer.Start(ctx, "publish", trace.WithAttributes(attribute.String("gateway", string(p.Gateway)), attribute.String("version", p.Version),
+			attribute.Bool("endpoints", p.Changed[coordinator.Endpoints]), attribute.Bool("routes", p.Changed[coordinator.Routes])))
+		t.open[p.Gateway] = append(t.open[p.Gateway], published{p.Version, p.Changed, one})
+		t.count++
+	}
+	span.End()
+}
+
+// acked ends what an acknowledgement confirms: the version, and for its document all before it.
+func (t *tracer) acked(a coordinator.Ack) {
+	all := t.open[a.Gateway]
+	at := slices.IndexFunc(all, func(p published) bool { return p.version == a.Version })
+	if a.Error != "" {
+		for _, p := range all {
+			p.span.AddEvent("refused", trace.WithAttributes(attribute.String("why", a.Error)))
+		}
+		return
+	}
+	if at < 0 || a.Doc < 0 || int(a.Doc) >= len(all[at].left) {
+		return
+	}
+	for i := range all[:at+1] {
+		if all[i].left[a.Doc] {
+			all[i].left[a.Doc] = false
+			all[i].span.AddEvent("acknowledged", trace.WithAttributes(attribute.String("document", a.Doc.String())))
+		}
+	}
+	for len(all) > 0 && all[0].left == [2]bool{} {
+		all[0].span.End()
+		all = all[1:]
+		t.count--
+	}
+	if t.open[a.Gateway] = all; len(all) == 0 {
+		delete(t.open, a.Gateway)
+	}
+}
+
+// drop ends what a gateway will not acknowledge any more.
+func (t *tracer) drop(g coordinator.Gateway, why string) {
+	for _, p := range t.open[g] {
+		p.span.SetStatus(codes.Error, why)
+		p.span.End()
+		t.count--
+	}
+	delete(t.open, g)
+}
+
+// close writes out what is left, within the time given.
+func (t *tracer) close(within time.Duration) {
+	for g := range t.open {
+		t.drop(g, "the coordinator ends")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_ = t.provider.Shutdown(ctx)
+	if t.file != nil {
+		_ = t.file.Close()
+	}
+}
--- /dev/null
+++ b/daemon/trace_test.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	collectorv1 "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"porthub/config"
+)
+
+// An order is followed from the list's word to the gateway's acknowledgement, in a file and at an endpoint.
+func TestTrace(t *testing.T) {
+	var mu sync.Mutex
+	names := map[string]int{}
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		m := &collectorv1.ExportTraceServiceRequest{}
+		if err := proto.Unmarshal(body, m); err != nil || req.URL.Path != "/v1/traces" {
+			t.Errorf("%s: %v", req.URL.Path, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, r := range m.ResourceSpans {
+			for _, s := range r.ScopeSpans {
+				for _, one := range s.Spans {
+					names[one.Name]++
+				}
+			}
+		}
+	}))
+	defer collector.Close()
+	path := filepath.Join(t.TempDir(), "spans.json")
+	r := newRig(t, nil, func(c *config.Config) {
+		c.Trace = config.Trace{File: path, Endpoint: strings.TrimPrefix(collector.URL, "http://"), Part: 1}
+	})
+	g := r.gateway("gw-1", "a")
+	r.until("a table", func() bool { g.turn(t); return g.held.EndpointsFrom != "" })
+	before := g.held.EndpointsFrom
+	r.write("nodes.json", strings.Replace(threeNodes, `"zone": "b"`, `"zone": "b", "status": "draining"`, 1))
+	r.until("a table without it", func() bool { g.turn(t); return g.held.EndpointsFrom != before && g.held.Snapshot.Open("view") == 2 })
+	g.turn(t)
+	r.stop()
+	r.stop = func() {}
+	type span struct {
+		Name        string
+		SpanContext struct{ TraceID, SpanID string }
+		Parent      struct{ SpanID string }
+		Attributes  []struct {
+			Key   string
+			Value struct{ Value any }
+		}
+		Events []struct{ Name string }
+		Status struct{ Code string }
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	steps, followed := map[string]span{}, 0
+	var publishes []span
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var s span
+		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			t.Fatal(err)
+		}
+		if s.Name == "step" {
+			steps[s.SpanContext.SpanID] = s
+		} else {
+			publishes = append(publishes, s)
+		}
+	}
+	for _, p := range publishes {
+		parent, has := steps[p.Parent.SpanID]
+		if !has || parent.SpanContext.TraceID != p.SpanContext.TraceID {
+			t.Errorf("a publication without its step: %+v", p)
+		}
+		byList := false
+		for _, a := range parent.Attributes {
+			byList = byList || a.Key == "told.List"
+		}
+		if byList && len(p.Events) > 0 && p.Status.Code != "Error" {
+			followed++
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if followed == 0 || names["step"] == 0 || names["publish"] == 0 {
+		t.Errorf("%d publications are followed from the list to an acknowledgement; the endpoint has %v", followed, names)
+	}
+}
