Cold nodes keep their limit when gateways avoid others: the solver learns the excess

Tables planned their part; more came, since gateways avoid what has failed them and everyone tries again.

Change: solver.Excess holds what came to nodes against what the held tables plan and makes a cold node's capacity that much smaller for the solver.

--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -56,3 +56,30 @@
 		h.pass(second) // after a quarter of the grace at the latest it is masked
 	}
 }
+
+// BenchmarkOverview is what one look of the operators' screen costs.
+func BenchmarkOverview(b *testing.B) {
+	for _, size := range [][2]int{{100, 300}, {1000, 3000}} {
+		b.Run(fmt.Sprintf("%d_nodes_%d_gateways", size[0], size[1]), func(b *testing.B) {
+			h := newHost(&testing.T{}, func(s *Settings) { s.Up.Proxies, s.Up.Rules.QueueCap = size[1], 4e6 })
+			zones := []control.Zone{"a", "b"}
+			var list []control.Entry
+			for i := range size[0] {
+				list = append(list, entries(zones[i%2], control.Backend(fmt.Sprintf("n%d:1", i)))...)
+			}
+			h.list(list...)
+			var joins []Input
+			for i := range size[1] {
+				g := Gateway(fmt.Sprintf("g%d", i))
+				h.conns[g] = Conn(i + 1)
+				joins = append(joins, Join{Gateway: g, Conn: Conn(i + 1), Zone: zones[i%2], Standing: true, Weight: 20})
+			}
+			h.tell(joins...)
+			h.pass(8*second, "g1")
+			b.ReportAllocs()
+			for b.Loop() {
+				h.core.Overview()
+			}
+		})
+	}
+}
--- a/coordinator/solving.go
+++ b/coordinator/solving.go
@@ -24,6 +24,7 @@
 	round    solver.Round
 	due      bool // a round of reports has ended and the module has not been asked since
 	starts   map[control.Backend]micros
+	excess   solver.Excess
 }
 
 type kindKey struct {
@@ -154,8 +155,15 @@
 	}
 	index := map[control.Backend]int{}
 	costs := s.estimate.Costs()
-	for _, e := range c.present() {
+	present := c.present()
+	if slices.ContainsFunc(present, func(e control.Entry) bool { return c.warmth(e) < 1 }) {
+		c.exceed()
+	}
+	for _, e := range present {
 		warm := c.warmth(e)
+		if warm < 1 {
+			warm /= s.excess.Times()
+		}
 		n := solver.Node{Name: string(e.Backend), Zone: string(e.Zone), Pod: int(e.Pod), Capacity: s.estimate.Capacity(e.Backend) * warm,
 			Cost: costs, Closed: e.Status != control.Ready || c.withdrawn[e.Backend]}
 		if warm < 1 {
@@ -197,6 +205,37 @@
 	return f, hold
 }
 
+// exceed holds what came to nodes in the last round against what the tables that gateways hold plan for them.
+func (c *Core) exceed() {
+	planned := map[control.Backend]float64{}
+	for proxy := range control.Proxy(len(c.gateways)) {
+		g := c.byProxy[proxy]
+		if !g.joined {
+			continue
+		}
+		for k, cl := range g.ledger.Sent().Clusters {
+			total := 0.0
+			for _, l := range cl.Lines {
+				if !l.Withheld {
+					total += l.Weight
+				}
+			}
+			for _, l := range cl.Lines {
+				if !l.Withheld && total > 0 {
+					planned[l.Backend] += g.admitted(k) * l.Weight / total
+				}
+			}
+		}
+	}
+	var nodes []solver.Planned
+	for _, b := range slices.Sorted(maps.Keys(planned)) {
+		if f, known := c.intake.View(c.now, b); known && c.now-f.At < 2*c.set.Up.Reports.Period {
+			nodes = append(nodes, solver.Planned{Planned: planned[b], Met: f.Tries})
+		}
+	}
+	c.solving.excess.Round(nodes)
+}
+
 // want is the module's table as the solver has it: ready nodes only, those on trial for the kind by a tenth.
 func (c *Core) want(table control.Table, kind int, index map[control.Backend]int, f *solver.Fleet) (lines []solver.Share) {
 	for _, b := range slices.Sorted(maps.Keys(c.lines[table])) {
--- a/solver/solver_test.go
+++ b/solver/solver_test.go
@@ -407,3 +407,25 @@
 		t.Error("it learns from cold and idle nodes")
 	}
 }
+
+// What comes beyond the plan is learned at once, from the nodes that get most, and fades; a node with little planned says nothing.
+func TestExcess(t *testing.T) {
+	var x solver.Excess
+	if x.Times() != 1 {
+		t.Errorf("nothing known: %v", x.Times())
+	}
+	x.Round([]solver.Planned{{10, 10}, {10, 4}, {10, 20}, {10, 10}, {0.1, 5}})
+	if got := x.Times(); got < 1.4 || got > 2 {
+		t.Errorf("one gets twice, one little: %v", got)
+	}
+	x.Round([]solver.Planned{{10, 90}})
+	if x.Times() != 3 {
+		t.Errorf("more than is believed: %v", x.Times())
+	}
+	for range 12 {
+		x.Round([]solver.Planned{{10, 10}})
+	}
+	if x.Times() > 1.01 {
+		t.Errorf("it does not fade: %v", x.Times())
+	}
+}
