A stand-in node that dies while it takes a connection in does not hang the drill

Cause: found by the race detector's run, which hung for ten minutes: Kill held the node's lock while http.Server.Close waited for a connection that was being taken in and wanted that lock. Drills could hang the same way, seldom.

Change: the server is closed without the lock.

--- a/standin/node.go
+++ b/standin/node.go
@@ -139,13 +139,18 @@
 }
 
 // Kill ends the process at once: connections break, work is lost.
+//
+// The server is closed without the lock: Close waits for a connection that is just being taken in, and that wants the lock.
 func (n *Node) Kill() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.up {
+	up, server := n.up, n.server
+	if up {
 		n.up = false
 		n.kill()
-		_ = n.server.Close()
+	}
+	n.mu.Unlock()
+	if up {
+		_ = server.Close()
 	}
 }
 
