--- a/expect/host.go
+++ b/expect/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -38,7 +39,7 @@
 // How time goes in a case.
 const (
 	tick   = second / 4
-	settle = 14 * second // before the course begins: gateways have joined, the module has its rounds
+	settle = 9 * second // before the course begins: gateways have joined, the module has its rounds
 	base   = 1_000_000 * second
 	mean   = 20.0 // reqs a second that a warm node can do
 )
@@ -428,11 +429,8 @@
 		r := coordinator.Report{Gateway: g.name, Conn: g.conn, Seq: g.seq, Interval: period}
 		for k, kind := range h.set.Up.Kinds {
 			one := coordinator.KindReport{Kind: kind.Name, Arrived: int(math.Round(g.arrived[k])), Denied: int(math.Round(g.denied[k])), Errored: int(math.Round(g.errored[k]))}
-			for n := range h.nodes { // in one order
+			for _, n := range slices.Sorted(maps.Keys(g.sums[k])) {
 				s := g.sums[k][n]
-				if s == nil {
-					continue
-				}
 				tries := int(math.Ceil(s.tries - 1e-9))
 				busy := min(1, h.nodes[n].util)
 				one.Endpoints = append(one.Endpoints, coordinator.EndpointReport{Backend: h.nodes[n].name, Tries: tries,
