--- a/expect/expect_test.go
+++ b/expect/expect_test.go
@@ -178,6 +178,16 @@
 	if f := e.Run(set, e.Draw(0)); len(f) != 1 || f[0].Figure != "it was not" {
 		t.Errorf("in calm: %v", f)
 	}
+	// Half the fleet goes at the moment at which the load doubles: the level comes, and the rules hold at it and when all are back.
+	e.Length = 40_000_000
+	e.Course = []expect.Event{{At: 4_000_000, What: expect.Lose, Part: 0.5}, {At: 4_000_000, What: expect.Times, Size: 2}, {At: 14_000_000, What: expect.Back}}
+	e.That = []expect.That{{Entered: "tight", From: 4_000_000, To: 12_000_000}, {NeverWithout: 5_000_000}, {DrainedWithin: 3_000_000}, {ColdAtMost: 1},
+		{MessagesMost: 20}, {WaitingMost: 1}}
+	for i := range 4 {
+		if f := e.Run(set, e.Draw(i)); len(f) > 0 {
+			t.Errorf("half the fleet lost in a burst: %v", f)
+		}
+	}
 }
 
 // A thousand drawn cases at a hundred nodes and three hundred gateways take about a minute on four cores: a short run of them here.
