How often overviews may be made is decided in intake; a time nobody read is gone

Need: the last look found a tuned value in the daemon and a field of service.Machine that nobody reads. Change: intake.LookAgain, with a test; state.entered removed.

--- a/daemon/nodes.go
+++ b/daemon/nodes.go
@@ -99,9 +99,6 @@
 		d.took.Max()}, nodes})
 }
 
-// overviewPart of the loop's time at most goes into overviews, whoever asks and how often; a second at least lies between two.
-const overviewPart = 0.01
-
 // look answers with an overview: a new one if one may be made, else the last.
 func (d *Daemon) look(c *coordinator.Core) []byte {
 	began := time.Now()
@@ -109,7 +106,6 @@
 		return d.overview
 	}
 	d.overview = text(coordinator.Moment{Overview: c.Overview(), Log: d.tail})
-	took := time.Since(began)
-	d.overviewAt = began.Add(max(time.Second, time.Duration(float64(took)/overviewPart)))
+	d.overviewAt = began.Add(time.Duration(intake.LookAgain(control.Micros(time.Since(began).Microseconds()))) * time.Microsecond)
 	return d.overview
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -391,6 +391,10 @@
 	gatherMost = 20000 // a hundredth of what a drain may take is lost by it
 )
 
+// LookAgain is how long after an overview that took so long the next may be made, whoever asks: a second at least, and a hundredth
+// of the core's time at most goes into them.
+func LookAgain(took control.Micros) control.Micros { return max(1_000_000, 100*took) }
+
 // Stretch is how much longer than a period gateways may be asked to wait between reports: what comes then is what can be
 // taken.
 func (in *Intake) Stretch() int { return in.stretch }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -393,6 +393,13 @@
 	}
 }
 
+// Overviews come once a second, or take a hundredth of the time.
+func TestLookAgain(t *testing.T) {
+	if LookAgain(500) != second || LookAgain(52_000) != 5_200_000 {
+		t.Errorf("%d, %d", LookAgain(500), LookAgain(52_000))
+	}
+}
+
 // A quick step is followed at once, a long one by as much time for the others, within bounds.
 func TestGather(t *testing.T) {
 	for took, want := range map[control.Micros]control.Micros{300: 0, 1999: 0, 2000: 2000, 9000: 9000, 500_000: 20_000} {
--- a/service/machine.go
+++ b/service/machine.go
@@ -28,7 +28,6 @@
 
 	met     []control.Micros // by level: since when a reason to enter it is met, without a break; never: it is not
 	under   []control.Micros // by level: since when all reasons for it are under their lower thresholds; never: they are not
-	entered []control.Micros // by level, when last; never
 	left    []control.Micros
 	backoff []int
 	figures Figures
@@ -47,7 +46,7 @@
 		s := &state{since: never, shownAt: never}
 		for range set.Levels {
 			s.under = append(s.under, never)
-			s.met, s.entered, s.left, s.backoff = append(s.met, never), append(s.entered, never), append(s.left, never), append(s.backoff, 1)
+			s.met, s.left, s.backoff = append(s.met, never), append(s.left, never), append(s.backoff, 1)
 		}
 		m.states[z] = s
 	}
@@ -122,7 +121,7 @@
 		} else {
 			s.backoff[i] = 1
 		}
-		s.level, s.since, s.why, s.entered[i] = target, now, why, now
+		s.level, s.since, s.why = target, now, why
 		return
 	}
 	if s.level == 0 || now < m.ends(s) {
@@ -361,7 +360,7 @@
 			continue
 		}
 		s := m.states[z]
-		s.level, s.since, s.why, s.entered[level-1] = level, now, "as before the restart", now
+		s.level, s.since, s.why = level, now, "as before the restart"
 		for i := range s.under { // what was gone before counts for nothing
 			s.under[i] = never
 		}
