--- a/capture/record.go
+++ b/capture/record.go
@@ -17,6 +17,7 @@
 	"porthub/control"
 	"porthub/coordinator"
 	"porthub/recovery"
+	"porthub/service"
 	"porthub/tables"
 )
 
@@ -60,6 +61,9 @@
 	Drain   control.Backend `cbor:"drain,omitempty"`
 	Undrain control.Backend `cbor:"undrain,omitempty"`
 	Reason  string          `cbor:"reason,omitempty"`
+	// Say is an operator's word about levels of service, Unsay the number of one that is taken back.
+	Say   *service.Word `cbor:"say,omitempty"`
+	Unsay int           `cbor:"unsay,omitempty"`
 }
 
 // Gap says that records are missing: what was told then is not known.
--- a/capture/replay.go
+++ b/capture/replay.go
@@ -125,6 +125,10 @@
 		_, _ = core.Pin(*c.Pin)
 	case c.Drain != "":
 		_ = core.DrainNode(c.Drain, c.Reason)
+	case c.Say != nil:
+		_, _ = core.SayLevel(*c.Say)
+	case c.Unsay != 0:
+		_, _ = core.UnsayLevel(c.Unsay, c.Reason)
 	case c.Undrain != "":
 		_ = core.UndrainNode(c.Undrain, c.Reason)
 	default:
--- a/client/link.go
+++ b/client/link.go
@@ -25,6 +25,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
@@ -52,6 +53,7 @@
 	addr   string
 	http   *http.Client
 	report uint64
+	heard  atomic.Int64 // the last answer, nanoseconds since 1970; 0: none
 }
 
 // NewLink prepares a link; it connects with the first message.
@@ -76,6 +78,7 @@
 	if err != nil {
 		return err
 	}
+	l.heard.Store(time.Now().UnixNano())
 	if code >= 400 {
 		return fmt.Errorf("%w: %d: %s", ErrRefused, code, bytes.TrimSpace(body))
 	}
@@ -129,6 +132,15 @@
 	return answer.GetLoadReportingInterval().AsDuration(), nil
 }
 
+// Heard is when the coordinator answered last; zero: never. A gateway that has heard nothing for long goes by its routes'
+// fallback: tables.Route.Away.
+func (l *Link) Heard() time.Time {
+	if at := l.heard.Load(); at > 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Close ends the connection.
 func (l *Link) Close() { l.http.CloseIdleConnections() }
 
--- a/config/config.go
+++ b/config/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"porthub/control"
+	"porthub/service"
 )
 
 // Duration is a length of time; in the file it is a string with a unit, such as "750ms", "2.5s" or "1m".
@@ -38,6 +39,7 @@
 	Limits      Limits      `json:"limits"`
 	Capture     Capture     `json:"capture"`
 	Recovery    Recovery    `json:"recovery"`
+	Service     Service     `json:"service"`
 }
 
 // Coordinator is this instance among its like.
@@ -189,6 +191,96 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Service has the levels of reduced service, and what gateways do while they reach no coordinator.
+type Service struct {
+	Levels   []ServiceLevel  `json:"levels"` // by severity, the least first; none: there are no levels
+	Fallback ServiceFallback `json:"fallback"`
+}
+
+// ServiceLevel is one level: what it is entered and left by, and what it bounds.
+type ServiceLevel struct {
+	Name      string   `json:"name"`
+	Enter     Reasons  `json:"enter"` // at or above one of them; 0: it does not count
+	Leave     Reasons  `json:"leave"` // all of them at or below
+	EnterHeld Duration `json:"enter_held"`
+	LeaveHeld Duration `json:"leave_held"`
+
+	Kinds     []KindBounds `json:"kinds"`          // those that it bounds
+	SecondTry int          `json:"second_try"`     // the most of the orders for second tries, of all kinds; 3: as it is
+	Cross     float64      `json:"cross"`          // factor on lines to other zones; 1: as they are
+	Lines     int          `json:"lines"`          // of a kind in one gateway's table; 0: no bound
+	Probes    float64      `json:"probes_per_s"`   // 0: no bound
+	Stretch   int          `json:"report_stretch"` // times the report period
+}
+
+// defaults are of a level that bounds nothing.
+func (l *ServiceLevel) defaults() {
+	l.EnterHeld, l.LeaveHeld, l.SecondTry, l.Cross, l.Stretch = 2_000_000, 15_000_000, 3, 1, 1
+}
+
+// Reasons are the figures that a level goes by; docs/levels.md says what each is.
+type Reasons struct {
+	Load        float64 `json:"load"`
+	Lost        float64 `json:"lost"`
+	Unreachable float64 `json:"unreachable"`
+	Shed        float64 `json:"shed"`
+	Behind      float64 `json:"behind"`
+}
+
+func (r Reasons) all() [service.Reasons]float64 {
+	return [service.Reasons]float64{service.Load: r.Load, service.Lost: r.Lost, service.Unreachable: r.Unreachable, service.Shed: r.Shed,
+		service.Behind: r.Behind}
+}
+
+// KindBounds are a level's for one request kind.
+type KindBounds struct {
+	Name      string  `json:"name"`
+	Share     float64 `json:"share"`      // of what is let in, in work, that it may use; 1: all
+	SecondTry int     `json:"second_try"` // -1: as the level has it
+}
+
+func (k *KindBounds) defaults() { k.Share, k.SecondTry = 1, -1 }
+
+// ServiceFallback is what a gateway does by the table that it holds while it reaches no coordinator.
+type ServiceFallback struct {
+	Level string   `json:"level"` // empty: it goes on as it is
+	After Duration `json:"after"` // without a word from a coordinator
+	For   Duration `json:"for"`   // afterwards its table holds again as it is
+}
+
+// Levels are the levels of service as package service has them, and the fallback.
+func (c Config) ServiceLevels() (service.Settings, service.Fallback) {
+	s := service.Settings{Period: control.Micros(c.Reports.Period)}
+	for _, z := range c.Zones {
+		s.Zones = append(s.Zones, control.Zone(z))
+	}
+	for _, k := range c.Kinds {
+		s.Kinds = append(s.Kinds, k.Name)
+	}
+	for _, l := range c.Service.Levels {
+		one := service.Level{Name: l.Name, Enter: l.Enter.all(), Leave: l.Leave.all(), EnterHeld: control.Micros(l.EnterHeld),
+			LeaveHeld: control.Micros(l.LeaveHeld), Bounds: service.None(len(c.Kinds))}
+		b := &one.Bounds
+		b.Cross, b.Lines, b.Probes, b.Stretch = l.Cross, l.Lines, l.Probes, l.Stretch
+		for k := range c.Kinds {
+			b.SecondTry[k] = l.SecondTry
+			for _, kind := range l.Kinds {
+				if kind.Name == c.Kinds[k].Name {
+					if b.Share[k] = kind.Share; kind.SecondTry >= 0 {
+						b.SecondTry[k] = kind.SecondTry
+					}
+				}
+			}
+		}
+		s.Levels = append(s.Levels, one)
+	}
+	f := service.Fallback{After: control.Micros(c.Service.Fallback.After), For: control.Micros(c.Service.Fallback.For)}
+	if c.Service.Fallback.Level != "" {
+		f.Level, _ = s.Find(c.Service.Fallback.Level)
+	}
+	return s, f
+}
+
 // Limits bound what peers may cost.
 type Limits struct {
 	Connections int `json:"connections"` // in all
@@ -384,12 +476,43 @@
 	need(slices.Contains([]string{"rate", "share", "off"}, c.Levels), "levels", fmt.Sprintf("is %q", c.Levels), "it must be rate, share or off")
 	need(slices.Contains([]string{"debug", "info", "warn", "error"}, c.LogLevel), "log_level",
 		fmt.Sprintf("is %q", c.LogLevel), "it must be debug, info, warn or error")
+	d.checkService(c, need)
 	for i, l := range c.Reports.Loads {
 		need(slices.Contains([]string{"util", "queue", "qps"}, l), fmt.Sprintf("reports.loads[%d]", i),
 			fmt.Sprintf("%q is not known", l), "it must be util, queue or qps")
 	}
 }
 
+// checkService looks for levels that can't be left, swing or waste, as package service has it.
+func (d *decoder) checkService(c Config, need func(ok bool, key, wrong, right string)) {
+	set, fallback := c.ServiceLevels()
+	for i, l := range c.Service.Levels {
+		seen := map[string]bool{}
+		for j, k := range l.Kinds {
+			key := fmt.Sprintf("service.levels[%d].kinds[%d].name", i, j)
+			need(slices.Contains(set.Kinds, k.Name) && !seen[k.Name], key, fmt.Sprintf("%q is no request kind or stands twice", k.Name),
+				"name each of request_kinds once at most")
+			seen[k.Name] = true
+		}
+		need(c.Levels != "off" || len(l.Kinds) == 0, fmt.Sprintf("service.levels[%d].kinds", i), "bounds shares, and levels is off",
+			"gateways turn nothing away with levels off: leave kinds out")
+	}
+	for _, f := range set.Check() {
+		key := "service.levels"
+		if f.Level >= 0 {
+			key = fmt.Sprintf("service.levels[%d]", f.Level)
+			if f.Key != "" {
+				key += "." + f.Key
+			}
+		}
+		d.finding(d.lineOf(key), key, f.Wrong, f.Right)
+	}
+	f := c.Service.Fallback
+	need(f.Level == "" || fallback.Level > 0, "service.fallback.level", fmt.Sprintf("%q is no level", f.Level), "name one of service.levels")
+	need(f.Level == "" || f.For > 0 && f.After >= c.Gateways.SilentAfter, "service.fallback", fmt.Sprintf("begins after %d ms and lasts %d ms", f.After/1000, f.For/1000),
+		"it must not begin before gateways.silent_after, and must end")
+}
+
 // Up is what the decision module is handed at its start.
 func (c Config) Up() control.Up {
 	up := control.Up{Seed: uint64(c.Coordinator.Seed), Me: control.Peer(c.Coordinator.Index), Instances: max(1, c.Coordinator.Instances),
--- a/config/decode.go
+++ b/config/decode.go
@@ -82,6 +82,10 @@
 		}
 		d.object(key, object, into)
 	case reflect.Slice:
+		if null, is := v.Value.(hujson.Literal); is && null.Kind() == 'n' {
+			into.Set(reflect.MakeSlice(into.Type(), 0, 0)) // as an empty list is written by others
+			return
+		}
 		array, is := v.Value.(*hujson.Array)
 		if !is {
 			d.wrong(key, v, "a list")
@@ -89,6 +93,9 @@
 		}
 		out := reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements))
 		for i, e := range array.Elements {
+			if with, has := out.Index(i).Addr().Interface().(interface{ defaults() }); has {
+				with.defaults()
+			}
 			d.value(fmt.Sprintf("%s[%d]", key, i), e, out.Index(i))
 		}
 		into.Set(out)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -11,6 +11,7 @@
 	"porthub/intake"
 	"porthub/membership"
 	"porthub/recovery"
+	"porthub/service"
 	"porthub/tables"
 )
 
@@ -21,14 +22,16 @@
 // Settings are what a core is handed at its start.
 type Settings struct {
 	Up          control.Up
-	Epoch       string   // names this start; versions of two starts never look alike
-	SilentAfter micros   // without a word for so long a gateway counts as away
-	AllowEmpty  bool     // an empty list after one that was not is believed
-	Solver      bool     // tables that break limits give way to the solver's
-	Intake      float64  // lines of reports that are taken in a second; 0: all
-	Sources     []string // registries beside the file, the most trusted first
-	Build       string   // names the build, for snapshots and captures
-	Sync        bool     // documents are synced while the disk is quick enough for it
+	Epoch       string           // names this start; versions of two starts never look alike
+	SilentAfter micros           // without a word for so long a gateway counts as away
+	AllowEmpty  bool             // an empty list after one that was not is believed
+	Solver      bool             // tables that break limits give way to the solver's
+	Intake      float64          // lines of reports that are taken in a second; 0: all
+	Sources     []string         // registries beside the file, the most trusted first
+	Build       string           // names the build, for snapshots and captures
+	Sync        bool             // documents are synced while the disk is quick enough for it
+	Service     service.Settings // levels of reduced service; without any there are none
+	Fallback    service.Fallback
 }
 
 // Core is one coordinator's state. Its zero value does not work: use New.
@@ -65,6 +68,7 @@
 	lag      micros           // of confirmations, smoothed over eight
 	unsynced bool             // files go out without a sync
 	solving  *solving         // nil: off
+	leveling *leveling        // nil: there are no levels of service
 	belief   *recovery.Belief // of the time before this start; nil: none
 	sums     sums
 	intake   *intake.Intake
@@ -104,6 +108,7 @@
 	c.intake = intake.New(intake.Settings{Lines: set.Intake, Period: set.Up.Reports.Period, Seed: set.Up.Seed})
 	c.members = membership.New(membership.Settings{Zones: set.Up.Zones, Binding: map[string]bool{FileSource: true},
 		Sources: append([]string{FileSource}, set.Sources...)})
+	c.leveling = newLeveling(set.Service)
 	if set.Solver {
 		c.solving = newSolving(len(set.Up.Kinds))
 	}
@@ -133,6 +138,7 @@
 	}
 	clear(c.made) // what came may have closed nodes
 	events = append(events, c.settle(false)...)
+	c.probeOn()
 	events = append(events, c.watchGateways()...)
 	for {
 		due := c.due()
@@ -236,7 +242,7 @@
 		case control.Sleep:
 			c.timers = append(c.timers, timer{c.now + o.After, o.Token})
 		case control.Probe:
-			c.out(Probe{o.Backend})
+			c.probe(o.Backend)
 		case control.Line:
 			touched[o.Table] = true
 			if c.lines[o.Table] == nil {
@@ -331,6 +337,9 @@
 // drains or is gone stays open: a table the module has stopped laying out may still be somebody's.
 func (c *Core) snapshot(g *gateway) tables.Snapshot {
 	var s tables.Snapshot
+	if c.leveling != nil {
+		s.Level = c.leveling.machine.At(g.zone)
+	}
 	for k, kind := range c.set.Up.Kinds {
 		table, k := g.binds[k], control.ReqKind(k)
 		key := madeKey{table, k, g.zone}
@@ -340,23 +349,13 @@
 			c.made[key] = made
 		}
 		admit := made.admit
-		s.Clusters = append(s.Clusters, made.cluster)
-		r := tables.Route{Kind: kind.Name, Rate: tables.Unlimited, Share: 1, Timeout: kind.ClientTimeout}
-		for _, t := range []control.Table{control.AllTables, table} {
-			a, has := c.levels[t][k]
-			if !has {
-				continue
-			}
-			switch c.set.Up.Levels {
-			case control.LevelRate:
-				if a.Level < everything && (r.Rate < 0 || a.Level < r.Rate) {
-					r.Rate = a.Level
-				}
-			case control.LevelShare:
-				r.Share = min(r.Share, a.Level)
-			}
-			r.SecondTry = a.SecondTry
+		if c.fewer(g) {
+			s.Clusters = append(s.Clusters, c.build(kind.Name, c.narrowed(g.zone, string(g.name), made.weights)))
+		} else {
+			s.Clusters = append(s.Clusters, made.cluster)
 		}
+		to := c.bounded(g, k, c.moduleRoute(g, k))
+		r := tables.Route{Kind: kind.Name, Rate: to.most(), Share: to.share, SecondTry: to.secondTry, Timeout: kind.ClientTimeout, Fallback: c.fallback(g, k)}
 		if c.set.Up.Levels == control.LevelRate {
 			r.Rate = g.cap(int(k), admit, r)
 		}
@@ -369,6 +368,7 @@
 // most of a step went into making the same again.
 type made struct {
 	cluster tables.Cluster
+	weights map[control.Backend]float64
 	admit   float64
 }
 
@@ -384,7 +384,8 @@
 		weights = c.lines[key.table]
 	}
 	weights = c.inForce(g, key.table, int(key.kind), weights)
-	return made{c.build(name, weights), admit}
+	weights = c.narrowed(g.zone, "", weights)
+	return made{c.build(name, weights), weights, admit}
 }
 
 // build makes a cluster, with nothing open that the rules close.
--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -25,7 +25,7 @@
 	ledger   *tables.Ledger // what it holds, and what it may be sent
 
 	usage []float64       // by kind: reqs a second that came to it, half way to the new value with each report
-	caps  map[int]float64 // by kind: rates that the solver's admission came to
+	caps  map[int]float64 // rates that were told lately: by kind what the solver's admission came to, then what a level's did
 	owed  bool            // something has changed that has not gone out
 	onWay float64         // lines on their way to it
 	// checkAt is when what it holds is held against the list, 0: nothing has changed there.
--- /dev/null
+++ b/coordinator/levels.go
@@ -0,0 +1,495 @@
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"porthub/control"
+	"porthub/service"
+	"porthub/tables"
+)
+
+// Package service decides which level of reduced service is in force; here is what it is told and where its bounds act.
+
+// leveling joins the levels to the core; nil: there are none.
+type leveling struct {
+	machine *service.Machine
+	at      micros                     // of the last round
+	peak    map[control.Zone]float64   // capacity that stood open lately
+	deals   map[control.Zone][]deal    // by kind; of zones at a level
+	falls   map[control.Zone][]float64 // by kind: the part let in by the level that gateways fall back to
+	probes  []control.Backend          // that wait for their turn
+	probeAt micros                     // when the next one may go
+}
+
+// deal is how a level divides what is let in of one kind in a zone: in reqs a second, what comes, what the module lets in, what
+// the level gives it.
+type deal struct{ asked, let, given float64 }
+
+// peakHalf is how long it takes until half of a capacity that is gone is forgotten: a fleet that was made smaller on purpose is
+// whole again in minutes.
+const peakHalf = 120 * second
+
+func newLeveling(set service.Settings) *leveling {
+	if len(set.Levels) == 0 {
+		return nil
+	}
+	return &leveling{machine: service.New(set), peak: map[control.Zone]float64{}, deals: map[control.Zone][]deal{}, falls: map[control.Zone][]float64{}}
+}
+
+// levelRound gathers the figures once a period, before the round's sums go to the module, and takes the levels that come of them.
+func (c *Core) levelRound() {
+	lv := c.leveling
+	if lv == nil || c.now-lv.at < c.set.Up.Reports.Period*9/10 {
+		return
+	}
+	passed := c.now - lv.at
+	lv.at = c.now
+	figures := map[control.Zone]service.Figures{}
+	zones := append([]control.Zone{service.Fleet}, c.set.Up.Zones...)
+	capacity := c.capacities()
+	open, away, known := map[control.Zone]float64{}, map[control.Zone]float64{}, map[control.Zone]float64{}
+	for _, e := range c.present() {
+		if e.Status == control.Ready && !c.withdrawn[e.Backend] {
+			w := max(e.Weight, 1e-9) * c.warmth(e)
+			open[e.Zone], open[service.Fleet] = open[e.Zone]+w, open[service.Fleet]+w
+		}
+	}
+	for _, g := range c.gateways {
+		if g.linked || c.now-g.heardAt < forgotten {
+			known[g.zone], known[service.Fleet] = known[g.zone]+1, known[service.Fleet]+1
+			if !g.joined {
+				away[g.zone], away[service.Fleet] = away[g.zone]+1, away[service.Fleet]+1
+			}
+		}
+	}
+	deals := c.deals()
+	for _, z := range zones {
+		var f service.Figures
+		if load, told := c.load(z, deals, capacity); told {
+			f.Set(service.Load, load)
+		}
+		if c.list.has {
+			lv.peak[z] = max(open[z], lv.peak[z]*math.Exp2(-float64(passed)/float64(peakHalf)))
+			f.Set(service.Lost, 1-open[z]/max(lv.peak[z], 1e-9))
+		}
+		if known[z] > 0 && !c.gathering() {
+			f.Set(service.Unreachable, away[z]/known[z])
+		}
+		if z == service.Fleet {
+			f.Set(service.Shed, 1-c.intake.Stats().Part)
+			behind := float64(c.lag) / float64(c.set.Up.Rules.DrainGrace)
+			if most := c.set.Up.Rules.QueueCap; most > 0 {
+				behind = max(behind, c.onWay/most)
+			}
+			f.Set(service.Behind, behind)
+		}
+		figures[z] = f
+	}
+	c.relevel(figures)
+	clear(lv.deals)
+	for _, z := range c.set.Up.Zones {
+		if b := lv.machine.Settings().Bounds(lv.machine.At(z)); lv.machine.At(z) > 0 {
+			lv.deals[z] = c.divide(deals[z], b)
+		}
+	}
+	c.fall(deals)
+	for _, g := range c.gateways { // what a level divides moves with the load
+		if g.joined && lv.machine.At(g.zone) > 0 {
+			g.owed = true
+			c.watch(g)
+		}
+	}
+}
+
+// fall says what the level that gateways fall back to would let in of each kind now. It moves by a tenth or not at all: each
+// change is a message to every gateway of the zone.
+func (c *Core) fall(deals map[control.Zone][]deal) {
+	lv := c.leveling
+	if c.set.Fallback.Level == 0 {
+		return
+	}
+	for _, z := range c.set.Up.Zones {
+		parts := make([]float64, len(c.set.Up.Kinds))
+		moved := len(lv.falls[z]) == 0
+		for k, d := range c.divide(deals[z], lv.machine.Settings().Bounds(c.set.Fallback.Level)) {
+			if parts[k] = service.Part(d.given, d.asked); !moved {
+				moved = math.Abs(parts[k]-lv.falls[z][k]) > 0.1
+			}
+		}
+		if !moved {
+			continue
+		}
+		lv.falls[z] = parts
+		for _, g := range c.gateways {
+			if g.zone == z {
+				g.owed = true
+				c.watch(g)
+			}
+		}
+	}
+}
+
+// forgotten: a gateway that has said nothing for so long is none that is missed.
+const forgotten = 300 * second
+
+// relevel takes a step of the levels and has every gateway whose level has changed looked at.
+func (c *Core) relevel(figures map[control.Zone]service.Figures) {
+	lv := c.leveling
+	was := map[control.Zone]int{}
+	for _, z := range c.set.Up.Zones {
+		was[z] = lv.machine.At(z)
+	}
+	set := lv.machine.Settings()
+	for _, ch := range lv.machine.Step(c.now, figures) {
+		zone := string(ch.Zone)
+		if ch.Zone == service.Fleet {
+			zone = "the fleet"
+		}
+		c.out(Note{Level: Warn, Event: "service_level", Text: fmt.Sprintf("%s: %s to %s: %s", zone, set.Name(ch.From), set.Name(ch.To), ch.Why),
+			Fields: []Field{{"zone", string(ch.Zone)}, {"from", set.Name(ch.From)}, {"to", set.Name(ch.To)}}})
+	}
+	clear(c.made)
+	for _, g := range c.gateways {
+		if g.joined && lv.machine.At(g.zone) != was[g.zone] {
+			g.owed = true
+			c.watch(g)
+		}
+	}
+}
+
+// capacities are what nodes can do now, in mean reqs a second; what is not known is left out.
+func (c *Core) capacities() map[control.Backend]float64 {
+	out := map[control.Backend]float64{}
+	for _, e := range c.present() {
+		if e.Status != control.Ready || c.withdrawn[e.Backend] {
+			continue
+		}
+		can := math.NaN()
+		if c.solving != nil {
+			can = c.solving.estimate.Capacity(e.Backend)
+		}
+		if f, known := c.intake.View(c.now, e.Backend); math.IsNaN(can) && known && f.Util > 0.1 {
+			can = (f.Tries - f.Errored) / f.Util // what it does in a busy second
+		}
+		if !math.IsNaN(can) && can > 0 {
+			out[e.Backend] = can * c.warmth(e)
+		}
+	}
+	return out
+}
+
+// deals sums for each zone and kind what comes and what the module lets in.
+func (c *Core) deals() map[control.Zone][]deal {
+	out := map[control.Zone][]deal{}
+	for _, z := range c.set.Up.Zones {
+		out[z] = make([]deal, len(c.set.Up.Kinds))
+	}
+	for proxy := range control.Proxy(len(c.gateways)) {
+		g := c.byProxy[proxy]
+		if !g.joined || !g.bound() || len(out[g.zone]) == 0 {
+			continue
+		}
+		for k := range g.usage {
+			d := &out[g.zone][k]
+			d.asked, d.let = d.asked+g.usage[k], d.let+c.moduleRoute(g, control.ReqKind(k)).lets(g.usage[k])
+		}
+	}
+	return out
+}
+
+// load is the work that is asked for over what the nodes can do that serve a zone, or all.
+func (c *Core) load(zone control.Zone, deals map[control.Zone][]deal, capacity map[control.Backend]float64) (load float64, known bool) {
+	asked, let := 0.0, 0.0
+	for z, by := range deals {
+		for _, d := range by {
+			if zone == service.Fleet || z == zone {
+				asked, let = asked+d.asked, let+d.let
+			}
+		}
+	}
+	if let <= 0 {
+		return 0, false
+	}
+	offered, can, sum, weight := 0.0, 0.0, 0.0, 0.0
+	for _, b := range slices.Sorted(maps.Keys(capacity)) {
+		f, seen := c.intake.View(c.now, b)
+		if !seen {
+			continue
+		}
+		offered, can = offered+f.Tries, can+capacity[b]
+		// A zone's is the mean of its nodes' by how much of its traffic each gets.
+		if h := c.sums.heard[heardKey{zone, b}]; h != nil {
+			sum, weight = sum+float64(h.tries)*f.Tries/capacity[b], weight+float64(h.tries)
+		}
+	}
+	switch {
+	case zone == service.Fleet && can > 0:
+		return offered / can * asked / let, true
+	case weight > 0:
+		return sum / weight * asked / let, true
+	}
+	return 0, false
+}
+
+// divide divides what is let in of a zone among the kinds by a level's bounds, in work.
+func (c *Core) divide(of []deal, b service.Bounds) []deal {
+	costs := make([]float64, len(of))
+	payoff, asked, total := make([]float64, len(of)), make([]float64, len(of)), 0.0
+	for k := range of {
+		if costs[k] = 1; c.solving != nil {
+			costs[k] = c.solving.estimate.Costs()[k]
+		}
+		payoff[k], asked[k] = c.set.Up.Kinds[k].Payoff, of[k].asked*costs[k]
+		total += of[k].let * costs[k]
+	}
+	out := slices.Clone(of)
+	for k, given := range service.Divide(total, asked, payoff, b.Share) {
+		out[k].given = given / costs[k]
+	}
+	return out
+}
+
+// moduleRoute is what the module's levels say of a kind at a gateway.
+func (c *Core) moduleRoute(g *gateway, k control.ReqKind) route {
+	r := route{rate: tables.Unlimited, guard: tables.Unlimited, share: 1}
+	for _, t := range []control.Table{control.AllTables, g.binds[k]} {
+		a, has := c.levels[t][k]
+		if !has {
+			continue
+		}
+		switch {
+		case c.set.Up.Levels == control.LevelShare:
+			r.share = min(r.share, a.Level)
+		case c.set.Up.Levels != control.LevelRate || a.Level >= everything:
+		case t == control.AllTables:
+			r.rate = a.Level
+		default:
+			r.guard = a.Level
+		}
+		r.secondTry = a.SecondTry
+	}
+	return r
+}
+
+// route is what holds of a kind at a gateway: the rate of all tables, which levels divide, and the one of its own table, which
+// guards cold nodes and which nothing lifts.
+type route struct {
+	rate, guard, share float64
+	secondTry          int
+}
+
+// most is the rate that holds.
+func (r route) most() float64 {
+	if r.rate < 0 || r.guard >= 0 && r.guard < r.rate {
+		return r.guard
+	}
+	return r.rate
+}
+
+// lets is what a route lets in of what comes.
+func (r route) lets(usage float64) float64 {
+	if usage *= r.share; r.most() >= 0 {
+		usage = min(usage, r.most())
+	}
+	return usage
+}
+
+// bounded puts a level's bounds over what the module's levels say. The price loop has set how much is let in; the level
+// divides it otherwise, and takes second tries away.
+func (c *Core) bounded(g *gateway, k control.ReqKind, r route) route {
+	lv := c.leveling
+	if lv == nil {
+		return r
+	}
+	at := lv.machine.At(g.zone)
+	if at == 0 {
+		g.settled(int(k)+len(c.set.Up.Kinds), -1)
+		return r
+	}
+	r.secondTry = min(r.secondTry, lv.machine.Settings().Bounds(at).SecondTry[k])
+	by := lv.deals[g.zone]
+	if len(by) == 0 || by[k].asked <= 0 {
+		return r
+	}
+	d := by[k]
+	part := service.Part(d.given, d.asked)
+	switch {
+	case c.set.Up.Levels == control.LevelShare:
+		r.share = part
+	case c.set.Up.Levels != control.LevelRate:
+	case part == 1: // it gets all that it asks for
+		r.rate = tables.Unlimited
+	case r.rate >= 0 && d.let > 0 && d.let < d.asked:
+		r.rate = g.settled(int(k)+len(c.set.Up.Kinds), r.rate*d.given/d.let)
+	case int(k) < len(g.usage):
+		r.rate = g.settled(int(k)+len(c.set.Up.Kinds), max(0.1, part*g.usage[k]))
+	}
+	return r
+}
+
+// settled keeps a rate as it was told while it is near what is right: a change of it costs a message.
+func (g *gateway) settled(key int, rate float64) float64 {
+	if g.caps == nil {
+		g.caps = map[int]float64{}
+	}
+	if rate < 0 {
+		delete(g.caps, key)
+		return rate
+	}
+	if held, has := g.caps[key]; has && held > 0.8*rate && held < 1.25*rate {
+		rate = held
+	}
+	g.caps[key] = rate
+	return rate
+}
+
+// narrowed puts a level's bounds on crossing and on lines over a table's weights, as the gateways of a zone get it, or as one does.
+func (c *Core) narrowed(zone control.Zone, gateway string, w map[control.Backend]float64) map[control.Backend]float64 {
+	lv := c.leveling
+	if lv == nil || lv.machine.At(zone) == 0 {
+		return w
+	}
+	b := lv.machine.Settings().Bounds(lv.machine.At(zone))
+	if gateway == "" && b.Cross >= 1 || gateway != "" && b.Lines == 0 {
+		return w
+	}
+	var lines []service.Line
+	for _, be := range slices.Sorted(maps.Keys(w)) {
+		e, known := c.list.entries[be]
+		lines = append(lines, service.Line{Backend: be, Weight: w[be], Own: e.Zone == zone, Open: known && e.Status == control.Ready && !c.withdrawn[be],
+			Cold: known && c.warmth(e) < 1})
+	}
+	if gateway == "" {
+		lines = b.Crossing(lines)
+	} else {
+		lines = b.Fewer(gateway, lines)
+	}
+	out := map[control.Backend]float64{}
+	for _, l := range lines {
+		if l.Weight > 0 {
+			out[l.Backend] = l.Weight
+		}
+	}
+	return out
+}
+
+// fewer tells whether a gateway's level bounds its lines, so that its table is its own.
+func (c *Core) fewer(g *gateway) bool {
+	return c.leveling != nil && c.leveling.machine.Settings().Bounds(c.leveling.machine.At(g.zone)).Lines > 0
+}
+
+// fallback is what a gateway's route carries for the time when it reaches no coordinator.
+func (c *Core) fallback(g *gateway, k control.ReqKind) (f tables.Fallback) {
+	set := c.set.Fallback
+	if c.leveling == nil || set.Level == 0 || len(c.leveling.falls[g.zone]) == 0 {
+		return f
+	}
+	b := c.leveling.machine.Settings().Bounds(set.Level)
+	return tables.Fallback{After: set.After, For: set.For, Share: c.leveling.falls[g.zone][k], SecondTry: b.SecondTry[k]}
+}
+
+// probe lets a probe go, or keeps it for its turn while a level bounds them. None is lost, and none waits twice.
+func (c *Core) probe(b control.Backend) {
+	lv := c.leveling
+	if lv == nil || lv.pace() == 0 && len(lv.probes) == 0 {
+		c.out(Probe{b})
+		return
+	}
+	if !slices.Contains(lv.probes, b) {
+		lv.probes = append(lv.probes, b)
+	}
+	c.probeOn()
+}
+
+// pace is how many probes a second the fleet's level allows; 0: no bound.
+func (lv *leveling) pace() float64 {
+	return lv.machine.Settings().Bounds(lv.machine.At(service.Fleet)).Probes
+}
+
+// probeOn lets the probes go whose turn has come.
+func (c *Core) probeOn() {
+	lv := c.leveling
+	if lv == nil {
+		return
+	}
+	for len(lv.probes) > 0 && (lv.pace() == 0 || c.now >= lv.probeAt) {
+		c.out(Probe{lv.probes[0]})
+		lv.probes = lv.probes[1:]
+		if pace := lv.pace(); pace > 0 {
+			lv.probeAt = c.now + micros(float64(second)/pace)
+		}
+	}
+}
+
+// SayLevel takes an operator's word about levels in; it is in force from the next step on.
+func (c *Core) SayLevel(w service.Word) (service.Word, error) {
+	if c.leveling == nil {
+		return w, fmt.Errorf("%w: service.levels is empty", service.ErrNoLevel)
+	}
+	said, err := c.leveling.machine.Say(c.now, w)
+	if err == nil {
+		c.later = append(c.later, Note{Level: Warn, Event: "level_word", Text: fmt.Sprintf("word %d: %s %s in %q for %d s: %s", said.ID, said.Do,
+			c.leveling.machine.Settings().Name(said.Level), said.Zone, (said.Until-c.now)/second, said.Reason)})
+		c.relevelNow()
+	}
+	return said, err
+}
+
+// UnsayLevel takes an operator's word back.
+func (c *Core) UnsayLevel(id int, reason string) (service.Word, error) {
+	if c.leveling == nil {
+		return service.Word{}, fmt.Errorf("%w: service.levels is empty", service.ErrNoLevel)
+	}
+	w, err := c.leveling.machine.Unsay(id)
+	if err == nil {
+		c.later = append(c.later, Note{Level: Warn, Event: "level_word", Text: fmt.Sprintf("word %d is taken back: %s", id, reason)})
+		c.relevelNow()
+	}
+	return w, err
+}
+
+// relevelNow puts words in force without waiting for the next round; its notes come with the next step.
+func (c *Core) relevelNow() {
+	held := c.outputs
+	c.outputs = nil
+	c.relevel(nil)
+	c.later, c.outputs = append(c.later, c.outputs...), held
+}
+
+// Levels is how the levels of service stand.
+type Levels struct {
+	Now       control.Micros         `json:"now_us"`
+	Levels    []string               `json:"levels"` // by severity, the usual service first
+	Standings []service.Standing     `json:"standings"`
+	Words     []service.Word         `json:"words"`
+	Gateways  map[string]map[int]int `json:"gateways"` // by zone and level: how many are known to hold it
+	Away      int                    `json:"away"`     // gateways that are not joined: they go on by what they hold
+}
+
+// Levels tells it; without levels it is the usual service everywhere.
+func (c *Core) Levels() Levels {
+	out := Levels{Now: c.now, Levels: []string{service.Usual}, Gateways: map[string]map[int]int{}}
+	if c.leveling == nil {
+		return out
+	}
+	m := c.leveling.machine
+	for i := range m.Settings().Levels {
+		out.Levels = append(out.Levels, m.Settings().Name(i+1))
+	}
+	out.Standings, out.Words = m.Standings(c.now), m.Words()
+	for _, g := range c.gateways {
+		if !g.joined {
+			out.Away++
+		}
+		by := out.Gateways[string(g.zone)]
+		if by == nil {
+			by = map[int]int{}
+			out.Gateways[string(g.zone)] = by
+		}
+		by[g.ledger.Level()]++
+	}
+	return out
+}
--- /dev/null
+++ b/coordinator/levels_test.go
@@ -0,0 +1,206 @@
+package coordinator
+
+import (
+	"testing"
+
+	"porthub/control"
+	"porthub/service"
+	"porthub/tables"
+)
+
+// named gives the host two levels: view may use three tenths, and in the severer one no second tries and no crossing.
+func named(s *Settings) {
+	s.Up.Proxies = 2
+	s.Service = service.Settings{Zones: s.Up.Zones, Kinds: []string{"view", "save"}, Period: second}
+	for i, name := range []string{"tight", "hard"} {
+		l := service.Level{Name: name, EnterHeld: 2 * second, LeaveHeld: 5 * second, Bounds: service.None(2)}
+		l.Enter[service.Load], l.Leave[service.Load] = 1+0.5*float64(i), 0.8+0.4*float64(i)
+		l.Enter[service.Lost], l.Leave[service.Lost] = 0.4+0.3*float64(i), 0.1+0.3*float64(i)
+		l.Bounds.Share[0] = 0.3
+		if i > 0 {
+			l.Bounds.SecondTry, l.Bounds.Cross, l.Bounds.Stretch, l.Bounds.Probes = []int{0, 0}, 0, 2, 1
+		}
+		s.Service.Levels = append(s.Service.Levels, l)
+	}
+	s.Fallback = service.Fallback{Level: 1, After: 10 * second, For: 60 * second}
+}
+
+func (h *host) route(g Gateway, k int) tables.Route { return h.held[g].Snapshot.Routes[k] }
+
+func (h *host) force(level int, zone control.Zone) service.Word {
+	h.t.Helper()
+	w, err := h.core.SayLevel(service.Word{Do: service.Force, Zone: zone, Level: level, Until: h.now + 600*second, Reason: "a test"})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return w
+}
+
+// At a level its kind gets its share of what is let in, the other is not touched, and gateways are known to hold it; without
+// the level all is as before.
+func TestLevelDividesAdmission(t *testing.T) {
+	h := newHost(t, named)
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	word := h.force(1, service.Fleet)
+	h.pass(5*second, "g1", "g2")
+	// Of 20 reqs a second at a gateway, both kinds alike, view may use 6 of its 10.
+	if view, save := h.route("g1", 0), h.route("g1", 1); view.Rate < 4.5 || view.Rate > 7.5 || save.Rate != tables.Unlimited {
+		t.Errorf("view %v, save %v", view.Rate, save.Rate)
+	}
+	if l := h.core.Levels(); l.Standings[0].Name != "tight" || l.Gateways["a"][1] != 1 || l.Gateways["b"][1] != 1 {
+		t.Errorf("%+v", l)
+	}
+	before := h.sent["g1"]
+	h.pass(30*second, "g1", "g2")
+	if n := h.sent["g1"] - before; n > 3 {
+		t.Errorf("%d messages in half a minute of the same traffic", n)
+	}
+	if _, err := h.core.UnsayLevel(word.ID, "over"); err != nil {
+		t.Fatal(err)
+	}
+	h.pass(3*second, "g1", "g2")
+	if view := h.route("g1", 0); view.Rate != tables.Unlimited || h.core.Levels().Gateways["a"][0] != 1 {
+		t.Errorf("without it: %+v, %+v", view, h.core.Levels().Gateways)
+	}
+}
+
+// Half the capacity goes at once: the level is entered after its time, says why, and is left one step at a time when it is back;
+// whatever a level cuts, no closed node gets a line and no cold one more than before.
+func TestLevelByLostCapacity(t *testing.T) {
+	h := newHost(t, named)
+	h.fleet()
+	h.pass(12*second, "g1", "g2")
+	e := append(entries("a", "a1:1", "a2:1"), entries("b", "b1:1", "b2:1")...)
+	h.list(e[:1]...) // three of four
+	h.pass(3*second, "g1", "g2")
+	if l := h.core.Levels(); l.Standings[0].Level != 2 || h.notes["service_level"] == 0 {
+		t.Errorf("three of four nodes are gone: %+v", l.Standings[0])
+	}
+	if r := h.route("g1", 1); r.SecondTry != 0 || h.core.Stretch() != 2 {
+		t.Errorf("second try %d, stretch %d", r.SecondTry, h.core.Stretch())
+	}
+	for _, g := range []Gateway{"g1", "g2"} {
+		if open := h.open(g, "view"); len(open) != 1 || open[0] != "a1:1" {
+			t.Errorf("%s may send to %v", g, open)
+		}
+	}
+	h.list(e...) // they are back, and cold
+	cold := 0.0
+	for range 40 {
+		h.pass(second, "g1", "g2")
+		cold = max(cold, h.weight("g1", "view", "a2:1"))
+		if h.core.warmth(h.core.list.entries["a2:1"]) < 0.5 && cold > 0.5 {
+			t.Fatalf("a cold node gets %.2f of g1's", cold)
+		}
+	}
+	if l := h.core.Levels(); l.Standings[0].Level != 0 {
+		t.Errorf("all are back: %+v", l.Standings[0])
+	}
+}
+
+// Crossing is cut only where the own zone has most of the warm weight; a gateway whose zone is lost keeps its lines.
+func TestLevelCutsCrossing(t *testing.T) {
+	h := newHost(t, named)
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	h.force(2, service.Fleet)
+	h.list(entries("b", "b1:1", "b2:1")...)
+	h.pass(5*second, "g1", "g2")
+	if len(h.open("g1", "save")) == 0 {
+		t.Error("the gateway of the lost zone has no line")
+	}
+}
+
+// Fewer lines: each gateway a few others, and what drains goes all the same.
+func TestLevelBoundsLines(t *testing.T) {
+	h := newHost(t, func(s *Settings) {
+		named(s)
+		s.Service.Levels[0].Bounds.Lines = 3
+	})
+	e := entries("a", "a1:1", "a2:1", "a3:1", "a4:1", "a5:1", "a6:1", "a7:1", "a8:1")
+	h.list(e...)
+	for _, g := range []Gateway{"g1", "g2", "g3"} {
+		h.join(g, "a")
+	}
+	h.pass(5*second, "g1", "g2", "g3")
+	h.force(1, "a")
+	h.pass(3*second, "g1", "g2", "g3")
+	all := map[control.Backend]bool{}
+	for _, g := range []Gateway{"g1", "g2", "g3"} {
+		open := h.open(g, "view")
+		if len(open) != 3 {
+			t.Errorf("%s has %v", g, open)
+		}
+		for _, b := range open {
+			all[b] = true
+		}
+	}
+	if len(all) < 5 {
+		t.Errorf("three gateways share %v", all)
+	}
+	gone := h.open("g1", "view")[0]
+	for i := range e {
+		if e[i].Backend == gone {
+			e[i].Status = control.Draining
+		}
+	}
+	h.list(e...)
+	h.pass(2*second, "g1", "g2", "g3")
+	for _, b := range h.open("g1", "view") {
+		if b == gone {
+			t.Error("a drained node has a line")
+		}
+	}
+	if len(h.open("g1", "view")) != 3 {
+		t.Errorf("after the drain %v", h.open("g1", "view"))
+	}
+}
+
+// A gateway that can't be reached falls back by what its routes carry, for as long as they say; a restart stays at the level;
+// a gateway that comes back with an old one is given the one of now.
+func TestLevelFallbackAndRestart(t *testing.T) {
+	h := newHost(t, named)
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	r := h.route("g1", 0)
+	if r.Fallback.After != 10*second || r.Fallback.For != 60*second || r.Fallback.Share < 0.5 || r.Fallback.Share > 0.65 {
+		t.Fatalf("it carries %+v", r.Fallback)
+	}
+	for silent, want := range map[control.Micros]float64{0: 1, 9 * second: 1, 10 * second: r.Fallback.Share, 69 * second: r.Fallback.Share, 70 * second: 1} {
+		if got := r.Away(silent).Share; got != want {
+			t.Errorf("after %d s it lets in %v", silent/second, got)
+		}
+	}
+	h.force(2, "a")
+	h.pass(3*second, "g1", "g2")
+	h.restart(second, "g1", "g2")
+	h.pass(3*second, "g1", "g2")
+	if l := h.core.Levels(); l.Standings[1].Name != "hard" || len(l.Words) != 1 || h.route("g1", 1).SecondTry != 0 {
+		t.Errorf("after a restart: %+v", l)
+	}
+	h.tell(Leave{Gateway: "g1", Conn: h.conns["g1"]})
+	if _, err := h.core.UnsayLevel(h.core.Levels().Words[0].ID, "over"); err != nil {
+		t.Fatal(err)
+	}
+	h.pass(20*second, "g2")
+	h.join("g1", "a")
+	h.pass(3*second, "g1", "g2")
+	if l := h.core.Levels(); l.Standings[1].Level != 0 || l.Gateways["a"][0] != 1 || h.route("g1", 0).Rate != tables.Unlimited {
+		t.Errorf("back with an old level: %+v, %+v", l.Standings[1], h.route("g1", 0))
+	}
+}
+
+// A table's own rate guards its cold nodes: a level that gives a kind all that it asks for does not lift it.
+func TestLevelKeepsTheGuard(t *testing.T) {
+	h := newHost(t, named)
+	h.fleet()
+	h.pass(5*second, "g1", "g2")
+	h.force(1, service.Fleet)
+	g := h.core.gateways["g1"]
+	h.core.levels[g.binds[1]] = map[control.ReqKind]control.Admit{1: {Table: g.binds[1], Level: 4, SecondTry: 1}}
+	h.pass(4*second, "g1", "g2")
+	if r := h.core.snapshot(g).Routes[1]; r.Rate != 4 {
+		t.Errorf("the guard of 4 reqs a second has become %v", r.Rate)
+	}
+}
--- a/coordinator/recall.go
+++ b/coordinator/recall.go
@@ -14,6 +14,9 @@
 func (c *Core) Remember() recovery.Snapshot {
 	s := recovery.Snapshot{Format: recovery.Format, Build: c.set.Build, Epoch: c.set.Epoch, At: c.now, Steps: c.steps, Version: c.list.version,
 		Nodes: c.present(), Pins: c.book.Keep(), Drains: c.members.Drains(), Kinds: c.kindNames(), Zones: slices.Clone(c.set.Up.Zones)}
+	if c.leveling != nil {
+		s.Levels = c.leveling.machine.Keep()
+	}
 	if c.solving != nil {
 		s.Marks = c.solving.judge.Marks()
 	}
@@ -55,6 +58,11 @@
 	}
 	c.book.Recall(now, b.Pins)
 	c.members.Recall(now, b.Drains, b.Nodes)
+	if c.leveling != nil {
+		for _, why := range c.leveling.machine.Recall(now, b.Levels) {
+			c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: why})
+		}
+	}
 	c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: b.String()})
 	for _, why := range b.Why {
 		c.later = append(c.later, Note{Level: Info, Event: "recalled", Text: why})
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -205,6 +205,7 @@
 	for _, name := range c.intake.Close(c.now) {
 		c.complain("stopped_reporting", Gateway(name), "its link stands, and it has not reported for five periods: its traffic is guessed from the others'")
 	}
+	c.levelRound()
 	gathering := c.gathering()
 	if c.solving != nil {
 		c.closeRound(gathering)
--- a/coordinator/solving.go
+++ b/coordinator/solving.go
@@ -259,22 +259,15 @@
 
 // cap is the rate that the solver's admission comes to at a gateway. It stays while it is near what is right.
 func (g *gateway) cap(kind int, admit float64, base tables.Route) float64 {
-	if g.caps == nil {
-		g.caps = map[int]float64{}
-	}
 	if admit >= 1 {
-		delete(g.caps, kind)
+		g.settled(kind, -1)
 		return base.Rate
 	}
 	usage := 0.0
 	if kind < len(g.usage) {
 		usage = g.usage[kind]
 	}
-	rate := max(0.1, admit*usage)
-	if held, has := g.caps[kind]; has && held > 0.8*rate && held < 1.25*rate {
-		rate = held
-	}
-	g.caps[kind] = rate
+	rate := g.settled(kind, max(0.1, admit*usage))
 	if base.Rate >= 0 {
 		rate = min(rate, base.Rate)
 	}
--- a/coordinator/status.go
+++ b/coordinator/status.go
@@ -6,6 +6,7 @@
 
 	"porthub/control"
 	"porthub/intake"
+	"porthub/service"
 	"porthub/tables"
 )
 
@@ -58,7 +59,13 @@
 }
 
 // Stretch is how much longer than the period gateways are asked to wait between reports.
-func (c *Core) Stretch() int { return c.intake.Stretch() }
+func (c *Core) Stretch() int {
+	if c.leveling == nil {
+		return c.intake.Stretch()
+	}
+	m := c.leveling.machine
+	return max(c.intake.Stretch(), m.Settings().Bounds(m.At(service.Fleet)).Stretch)
+}
 
 // Status tells how the core stands. It changes nothing.
 func (c *Core) Status() Status {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,6 +130,7 @@
 	d.set = coordinator.Settings{Build: Build(), Intake: float64(o.Config.Reports.Intake), Sources: names, Up: o.Config.Up(), Epoch: strconv.FormatInt(int64(now), 36),
 		SilentAfter: control.Micros(o.Config.Gateways.SilentAfter), Solver: o.Config.Solver.Enabled,
 		Sync: o.Config.Front.Files.Sync}
+	d.set.Service, d.set.Fallback = o.Config.ServiceLevels()
 	d.core = coordinator.New(d.set)
 	if dir := o.Config.Capture.Dir; o.Config.Capture.Enabled && (dir != "" || d.cfg.StateDir != "") {
 		if dir == "" {
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -66,6 +66,8 @@
 		return dec.Decode(into)
 	}
 	switch req.Method + " " + req.URL.Path {
+	case "GET /levels", "POST /levels/say", "POST /levels/unsay":
+		return d.levelOperation(req, read)
 	case "GET /nodes", "POST /nodes/drain", "POST /nodes/undrain":
 		return d.nodeOperation(req, read)
 	case "GET /tables/versions":
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -314,7 +314,7 @@
 		if !s.d.inbox.press(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
-	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", strings.HasPrefix(req.URL.Path, "/nodes/"):
+	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", req.URL.Path == "/levels", strings.HasPrefix(req.URL.Path, "/levels/"), strings.HasPrefix(req.URL.Path, "/nodes/"):
 		operate, code, err := s.d.operation(req, body)
 		if err != nil {
 			fail(code, err.Error())
--- a/drill/scenario.go
+++ b/drill/scenario.go
@@ -35,6 +35,7 @@
 	Registry string          `json:"registry"`   // file or eureka
 	Troubles []Trouble       `json:"troubles"`
 	Checks   []Check         `json:"checks"`
+	Service  config.Service  `json:"service"` // the coordinator's levels of reduced service
 }
 
 // Kind is a request kind of a scenario.
@@ -62,7 +63,7 @@
 
 // Check is a figure that a scenario has to reach.
 type Check struct {
-	Name    string  `json:"name"` // service, worst_10s, kind:NAME, partial_reads, orders_p99_ms, stop_ms, converged_s, over_standing
+	Name    string  `json:"name"` // service, worst_10s, kind:NAME, partial_reads, orders_p99_ms, stop_ms, converged_s, level_changes, over_standing
 	AtLeast float64 `json:"at_least"`
 	AtMost  float64 `json:"at_most"` // in use where above 0 or where AtLeast is 0
 }
@@ -168,7 +169,7 @@
 	c.Listen, c.StateDir = listen, path.Join(dir, "state")
 	c.Front.Files.Dir, c.Registry.File.Path = path.Join(dir, "tables"), path.Join(dir, "nodes.json")
 	c.Registry.File.Poll = 100_000
-	c.Zones, c.Rules = s.Zones, s.Rules
+	c.Zones, c.Rules, c.Service = s.Zones, s.Rules, s.Service
 	c.Reports.Period = s.Period
 	c.Gateways.Expected, c.Gateways.SilentAfter = s.Gateways, max(3_000_000, 3*s.Period)
 	c.Channel.Connections = s.Conns
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"porthub/control"
+	"porthub/service"
 	"porthub/solver"
 	"porthub/tables"
 )
@@ -31,8 +32,9 @@
 	Gateways []Gateway                  `cbor:"gateways,omitempty"`
 	Pins     []tables.Kept              `cbor:"pins,omitempty"`
 	Drains   map[control.Backend]string `cbor:"drains,omitempty"` // by operators, with their reasons
-	Kinds    []string                   `cbor:"kinds"`            // what positions stand for
-	Zones    []control.Zone             `cbor:"zones"`            // tables are numbered by them
+	Levels   service.Kept               `cbor:"levels"`
+	Kinds    []string                   `cbor:"kinds"` // what positions stand for
+	Zones    []control.Zone             `cbor:"zones"` // tables are numbered by them
 }
 
 // Gateway is what was known of one.
@@ -57,6 +59,7 @@
 	Gateways map[string]Gateway
 	Pins     []tables.Kept
 	Drains   map[control.Backend]string
+	Levels   service.Kept
 	// Why says in words what is not believed.
 	Why []string
 }
@@ -72,7 +75,7 @@
 // Believe decides what of a snapshot counts at a start. A clock that has gone back says nothing about how old things are:
 // then only what does not age is believed.
 func Believe(s Snapshot, now control.Micros, kinds []string, zones []control.Zone) Belief {
-	b := Belief{From: s.Epoch, At: s.At, Version: s.Version, Drains: s.Drains}
+	b := Belief{From: s.Epoch, At: s.At, Version: s.Version, Drains: s.Drains, Levels: s.Levels}
 	not := func(format string, args ...any) { b.Why = append(b.Why, fmt.Sprintf(format, args...)) }
 	// The list stands until a fresh one comes: who drains stays drained, who had started stays as warm as it was. A start
 	// that lies ahead is now, so that another clock keeps nobody warm.
--- a/standin/client.go
+++ b/standin/client.go
@@ -99,7 +99,7 @@
 	out, all := map[Cell]Sum{}, Sum{}
 	for c, s := range t.cells {
 		out[c] = *s
-		all = all.plus(*s)
+		all = all.Plus(*s)
 	}
 	return out, all
 }
@@ -112,7 +112,7 @@
 	for i := 0; i+seconds <= len(t.windows); i++ {
 		var s Sum
 		for _, w := range t.windows[i : i+seconds] {
-			s = s.plus(w)
+			s = s.Plus(w)
 		}
 		worst = min(worst, s.Service())
 	}
@@ -125,7 +125,7 @@
 	defer t.mu.Unlock()
 	var s Sum
 	for i := int(from / time.Second); i < min(len(t.windows), int(to/time.Second)); i++ {
-		s = s.plus(t.windows[i])
+		s = s.Plus(t.windows[i])
 	}
 	return s.Service()
 }
@@ -137,7 +137,7 @@
 	for i := 0; i < len(t.windows); i += seconds {
 		var s Sum
 		for _, w := range t.windows[i:min(len(t.windows), i+seconds)] {
-			s = s.plus(w)
+			s = s.Plus(w)
 		}
 		out = append(out, s.Service())
 	}
@@ -158,7 +158,7 @@
 	return hdrhistogram.Import(t.answers.Export())
 }
 
-func (s Sum) plus(o Sum) Sum {
+func (s Sum) Plus(o Sum) Sum {
 	return Sum{s.Reqs + o.Reqs, s.Done + o.Done, s.Late + o.Late, s.Asked + o.Asked, s.Got + o.Got}
 }
 
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -59,6 +59,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	up     bool
+	heard  time.Time // the coordinator's last word
 	server *http.Server
 	held   client.Held
 	picks  map[string]map[string]float64 // by kind and node: smooth weighted round robin
@@ -314,6 +315,7 @@
 			continue
 		}
 		g.mu.Lock()
+		g.heard = link.Heard()
 		mute, late := g.mute, g.late
 		g.mu.Unlock()
 		for link != nil {
@@ -508,6 +510,9 @@
 func (g *Gateway) route(kind string) tables.Route {
 	for _, r := range g.held.Snapshot.Routes {
 		if r.Kind == kind {
+			if !g.heard.IsZero() {
+				r = r.Away(control.Micros(time.Since(g.heard).Microseconds()))
+			}
 			return r
 		}
 	}
--- a/standin/light.go
+++ b/standin/light.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"porthub/audit"
+	"porthub/control"
 	"porthub/tables"
 	"porthub/xds"
 )
@@ -217,6 +218,7 @@
 	carry    []float64
 	sentAt   time.Duration // up to when sending has been counted
 	since    time.Duration // of the report
+	heardAt  time.Duration // the coordinator's last word
 	number   uint64
 	mute     atomic.Bool
 	joined   atomic.Bool
@@ -262,6 +264,9 @@
 		g.carry[k] = came - float64(reqs)
 		g.arrived[k] += reqs
 		route := g.held.Routes[k]
+		if g.heardAt > 0 {
+			route = route.Away(control.Micros((now - g.heardAt).Microseconds()))
+		}
 		let := int(float64(reqs)*route.Share + g.rng.Float64())
 		if route.Rate >= 0 {
 			let = min(let, int(route.Rate*passed+g.rng.Float64()))
@@ -512,5 +517,6 @@
 	}
 	defer res.Body.Close()
 	body, err = io.ReadAll(res.Body)
+	g.heardAt = g.world.Now()
 	return body, res.StatusCode, err
 }
--- a/tables/ledger.go
+++ b/tables/ledger.go
@@ -36,6 +36,7 @@
 	Mark    control.Mark   `json:"mark"` // that goes with it; -1: none
 	At      control.Micros `json:"at_us"`
 	Lines   int            `json:"lines"`
+	Level   int            `json:"level"` // of service, by which it was made
 }
 
 func (m Message) done() bool {
@@ -98,6 +99,14 @@
 // Confirmed is the last acknowledged message of a document; At is when it was acknowledged.
 func (l *Ledger) Confirmed(doc int) Message { return l.confirmed[doc] }
 
+// Level is the level of service that the gateway is known to hold: that of the last message but those on their way.
+func (l *Ledger) Level() int {
+	if len(l.waiting) == 0 {
+		return l.sent.Level
+	}
+	return max(l.confirmed[0].Level, l.confirmed[1].Level)
+}
+
 // Count is how many messages there were in this start.
 func (l *Ledger) Count() int { return l.count }
 
@@ -120,6 +129,7 @@
 	if m.Changed == ([Docs]bool{}) {
 		// Marks only grow: the newer one stands for the older, and an older one that waits must not take its place.
 		m.Mark, l.owed, l.later = max(mark, l.owed), NoMark, false
+		l.sent.Level = s.Level
 		switch n := len(l.waiting); {
 		case m.Mark < 0:
 			return Nothing, m
@@ -147,7 +157,7 @@
 	l.later, l.owed, l.void = false, NoMark, false
 	l.count++
 	m.Version = fmt.Sprintf("%s.%d", l.epoch, l.count)
-	l.sent = s
+	l.sent, m.Level = s, s.Level
 	for d := range Docs {
 		if m.Changed[d] {
 			l.changed[d] = m.Version
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -34,12 +34,36 @@
 	// SecondTry is the order for second tries as control.Admit has it, 0 to 3.
 	SecondTry int            `json:"second_try"`
 	Timeout   control.Micros `json:"timeout_us"` // of all tries together
+	// Fallback holds in place of Share and SecondTry while no coordinator is reached.
+	Fallback Fallback `json:"fallback,omitzero"`
+}
+
+// Fallback is what a gateway does with a kind while it reaches no coordinator: After so long without a word, For so long; then
+// its table holds again as it is. The zero Fallback is none.
+type Fallback struct {
+	After     control.Micros `json:"after_us"`
+	For       control.Micros `json:"for_us"`
+	Share     float64        `json:"share"` // part let in of what the table lets in
+	SecondTry int            `json:"second_try"`
+}
+
+// Away is a route as it holds after so long without a word from a coordinator.
+func (r Route) Away(silent control.Micros) Route {
+	if f := r.Fallback; f.For > 0 && silent >= f.After && silent < f.After+f.For {
+		r.Share *= f.Share
+		if r.Rate > 0 {
+			r.Rate *= f.Share
+		}
+		r.SecondTry = min(r.SecondTry, f.SecondTry)
+	}
+	return r
 }
 
 // Snapshot is all that one gateway is given. Its clusters and routes are in the order of the request kinds.
 type Snapshot struct {
 	Clusters []Cluster `json:"clusters"`
 	Routes   []Route   `json:"routes"`
+	Level    int       `json:"-"` // of service, by which it was made; not published
 }
 
 // Unlimited is a level that turns nothing away.
--- a/tables/version.go
+++ b/tables/version.go
@@ -161,6 +161,9 @@
 			limited = 1
 		}
 		one("route", r.Kind, limited, uint64(math.Round(r.Share*1e4)), uint64(r.SecondTry), uint64(r.Timeout))
+		if f := r.Fallback; f.For > 0 {
+			one("fallback", r.Kind, uint64(f.After/1000), uint64(f.For/1000), uint64(math.Round(f.Share*1e4)), uint64(f.SecondTry))
+		}
 	}
 	return sum
 }
--- a/xds/delta.go
+++ b/xds/delta.go
@@ -61,6 +61,10 @@
 }
 
 func routeVersion(r tables.Route) string {
+	if r.Fallback.For > 0 {
+		f := r.Fallback
+		return fmt.Sprintf("%g.%g.%d.%d-%d.%d.%g.%d", r.Rate, r.Share, r.SecondTry, r.Timeout, f.After, f.For, f.Share, f.SecondTry)
+	}
 	return fmt.Sprintf("%g.%g.%d.%d", r.Rate, r.Share, r.SecondTry, r.Timeout)
 }
 
--- a/xds/xds.go
+++ b/xds/xds.go
@@ -28,6 +28,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"porthub/control"
@@ -49,6 +50,16 @@
 // RouteName is the name of the RouteConfiguration.
 const RouteName = "request-kinds"
 
+// FallbackMetadata names the part of a route's metadata that says what holds while no coordinator is reached.
+const FallbackMetadata = "porthub.fallback"
+
+const (
+	fallbackAfter = "after_ms"
+	fallbackFor   = "for_ms"
+	fallbackShare = "share"
+	fallbackTry   = "second_try"
+)
+
 const rateFilter = "envoy.filters.http.local_ratelimit"
 
 // Endpoints makes the document of a gateway's clusters.
@@ -170,6 +181,14 @@
 			Headers: []*routev3.HeaderMatcher{{Name: KindHeader, HeaderMatchSpecifier: &routev3.HeaderMatcher_StringMatch{
 				StringMatch: exact(r.Kind)}}}},
 		Action: &routev3.Route_Route{Route: action}}
+	if r.Fallback.For > 0 {
+		meta, err := structpb.NewStruct(map[string]any{fallbackAfter: float64(r.Fallback.After / 1000), fallbackFor: float64(r.Fallback.For / 1000),
+			fallbackShare: r.Fallback.Share, fallbackTry: float64(r.Fallback.SecondTry)})
+		if err != nil {
+			return nil, fmt.Errorf("route %s: %w", r.Kind, err)
+		}
+		one.Metadata = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{FallbackMetadata: meta}}
+	}
 	if r.Share < 1 {
 		one.Match.RuntimeFraction = &corev3.RuntimeFractionalPercent{RuntimeKey: "admission." + r.Kind,
 			DefaultValue: &typev3.FractionalPercent{Numerator: uint32(math.Round(max(0, r.Share) * 1e6)),
@@ -303,6 +322,15 @@
 			typev3.FractionalPercent_HUNDRED: 100, typev3.FractionalPercent_TEN_THOUSAND: 1e4,
 			typev3.FractionalPercent_MILLION: 1e6}[f.DefaultValue.GetDenominator()]
 	}
+	if meta := one.GetMetadata().GetFilterMetadata()[FallbackMetadata].GetFields(); meta != nil {
+		number := func(key string) float64 { return meta[key].GetNumberValue() }
+		f := tables.Fallback{After: control.Micros(number(fallbackAfter)) * 1000, For: control.Micros(number(fallbackFor)) * 1000,
+			Share: number(fallbackShare), SecondTry: int(number(fallbackTry))}
+		if !(f.Share >= 0 && f.Share <= 1) || f.After < 0 || f.For < 0 || f.SecondTry < 0 || f.SecondTry > 3 {
+			return r, fmt.Errorf("%w: route %s: a fallback of %+v", ErrNotXDS, one.Name, f)
+		}
+		r.Fallback = f
+	}
 	if settings := one.TypedPerFilterConfig[rateFilter]; settings != nil {
 		limit := &ratev3.LocalRateLimit{}
 		if err := settings.UnmarshalTo(limit); err != nil {
