--- a/daemon/clock.go
+++ b/clock/clock.go
@@ -1,4 +1,5 @@
-package daemon
+// Package clock is where running coordinators have their time from.
+package clock
 
 import (
 	"time"
@@ -6,7 +7,7 @@
 	"porthub/control"
 )
 
-// Clock gives the daemon its time, in microseconds since 1970.
+// Clock gives a host its time, in microseconds since 1970.
 type Clock interface {
 	Now() control.Micros
 	// After sends once the length has passed.
@@ -17,8 +18,8 @@
 // moves nothing.
 type wallClock struct{ start time.Time }
 
-// NewClock is the machine's clock.
-func NewClock() Clock { return wallClock{time.Now()} }
+// New is the machine's clock.
+func New() Clock { return wallClock{time.Now()} }
 
 func (c wallClock) Now() control.Micros {
 	return control.Micros(c.start.UnixMicro() + time.Since(c.start).Microseconds())
--- /dev/null
+++ b/cmd/porthub/node.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"porthub/daemon"
+	"porthub/platform"
+	"porthub/platform/node"
+)
+
+func nodeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "node",
+		Short: "Run a coordinator on the operators' platform until SIGTERM or SIGINT",
+		Long: `node starts as the platform starts a coordinator: NODE_CONFIG names a file with its configuration, in JSON; what that
+does not say of name and addresses is taken from NODE_NAME, NODE_LISTEN and NODE_DISCOVERY. SIGHUP reads the file again.`,
+		Example: "  NODE_CONFIG=/run/balancer/config.json porthub node",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			log, err := logger("info")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = log.Sync() }()
+			cfg, err := readNodeConfig()
+			if err != nil {
+				return err
+			}
+			within(cfg.Limits)
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			again := make(chan os.Signal, 1)
+			signal.Notify(again, syscall.SIGHUP)
+			n, err := node.New(cfg, log)
+			if err != nil {
+				return environment(err)
+			}
+			go func() {
+				for range again {
+					if fresh, err := readNodeConfig(); err != nil {
+						log.Warn("the configuration stays as it is", zap.Error(err))
+					} else {
+						n.Reload(fresh)
+					}
+				}
+			}()
+			log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", n.Addr()), zap.Any("limits", cfg.Limits))
+			return environment(n.Run(ctx))
+		},
+	}
+}
+
+// environment gives a failure of the machine the exit code that other commands have for it.
+func environment(err error) error {
+	if errors.Is(err, node.ErrEnvironment) {
+		return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
+	}
+	return err
+}
+
+func readNodeConfig() (platform.Config, error) {
+	path := os.Getenv("NODE_CONFIG")
+	if path == "" {
+		return platform.Config{}, errors.New("NODE_CONFIG is not set: it names the configuration")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return platform.Config{}, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	cfg, err := platform.ReadConfig(text, os.Getenv)
+	if err != nil {
+		return cfg, fmt.Errorf("%s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// within keeps the process inside its limits. The event loop waits in the kernel for most of the time and would hold the only
+// core's place meanwhile: it has one of its own. Of the memory a third is for what the collector does not see.
+func within(l platform.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(1 + int(math.Ceil(l.Cores)))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * (1 << 20) * 2 / 3))
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,13 +17,16 @@
 	"go.uber.org/zap"
 
 	"porthub/capture"
+	"porthub/clock"
 	"porthub/config"
 	"porthub/control"
 	"porthub/coordinator"
 	"porthub/front/files"
 	"porthub/front/poll"
+	"porthub/inbox"
 	"porthub/intake"
 	"porthub/membership"
+	"porthub/probe"
 	"porthub/registry/eureka"
 	"porthub/registry/file"
 )
@@ -32,7 +35,7 @@
 type Options struct {
 	Config config.Config
 	Log    *zap.Logger
-	Clock  Clock
+	Clock  clock.Clock
 	// Tap is called after each step, by the goroutine that owns the core: with the time, the inputs and the core.
 	Tap func(now control.Micros, inputs []coordinator.Input, core *coordinator.Core)
 }
@@ -41,16 +44,16 @@
 type Daemon struct {
 	cfg   config.Config
 	log   *zap.Logger
-	clock Clock
+	clock clock.Clock
 	tap   func(control.Micros, []coordinator.Input, *coordinator.Core)
 
 	core   *coordinator.Core
-	inbox  *inbox
+	inbox  *inbox.Inbox[event]
 	front  *files.Front
 	hub    *poll.Hub
 	source *file.Source // nil: there is no file
 	eureka []*eureka.Client
-	probes *prober
+	probes *probe.Prober
 	server *server
 	saves  chan any // lists
 	snaps  chan any // snapshots
@@ -110,15 +113,33 @@
 	reply  func([]byte)                   // called after the step; what query returned, or nil
 }
 
+// urgentLength bounds the inbox's urgent lane, plainLength is the least bound of the plain one.
+const (
+	urgentLength = 8192
+	plainLength  = 8192
+)
+
+// give hands the core inputs that must not be lost.
+func (d *Daemon) give(inputs ...coordinator.Input) { d.inbox.Give(event{inputs: inputs}) }
+
 // ErrEnvironment is a failure of the machine around the daemon: a port that is taken, a folder that can't be made.
 var ErrEnvironment = errors.New("environment")
 
 // New opens the daemon's folders and its listener. Addr tells where it listens.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap, inbox: newInbox(o.Config.Limits.Connections, o.Config.Trace != config.Trace{Part: o.Config.Trace.Part}),
+	d := &Daemon{cfg: o.Config, log: o.Log, clock: o.Clock, tap: o.Tap,
 		saves: make(chan any, 1), snaps: make(chan any, 1), took: hdrhistogram.New(1, 60_000_000, 2)}
+	var stamp func(event) event
+	if (o.Config.Trace != config.Trace{Part: o.Config.Trace.Part}) {
+		stamp = func(e event) event { e.at = time.Now(); return e }
+	}
+	// Room in the plain lane for a request of each connection: none has two on its way, so that none that polls or
+	// acknowledges is turned away for what others have sent. (At ten thousand gateways a step of half a second filled 8,192
+	// places, and those that found none came a second later: drains were at 171% of the grace.) Reports are put off long
+	// before, by package intake.
+	d.inbox = inbox.New(urgentLength, max(plainLength, o.Config.Limits.Connections), stamp)
 	if d.clock == nil {
-		d.clock = NewClock()
+		d.clock = clock.New()
 	}
 	if d.log == nil {
 		d.log = zap.NewNop()
@@ -146,7 +167,7 @@
 			Age: time.Duration(o.Config.Capture.Age) * time.Microsecond})
 	}
 	front, err := files.Open(o.Config.Front.Files.Dir, o.Config.Front.Files.Writers, func(g coordinator.Gateway, err error) {
-		d.inbox.give(coordinator.Failed{Gateway: g, Why: err.Error()})
+		d.give(coordinator.Failed{Gateway: g, Why: err.Error()})
 	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
@@ -166,13 +187,13 @@
 				if err != nil {
 					list.How, list.Why = control.ListFailed, err.Error()
 				}
-				d.inbox.give(list)
+				d.give(list)
 			})
 	}
 	for _, e := range o.Config.Registry.Eureka {
-		d.eureka = append(d.eureka, eureka.New(eurekaOptions(e), func(a membership.Answer) { d.inbox.give(coordinator.Told{Answer: a}) }))
+		d.eureka = append(d.eureka, eureka.New(eurekaOptions(e), func(a membership.Answer) { d.give(coordinator.Told{Answer: a}) }))
 	}
-	d.probes = newProber(o.Config.Probes, func(p control.Probed) { d.inbox.give(coordinator.Probed{Probed: p}) })
+	d.probes = probe.New(probeOptions(o.Config.Probes), func(p control.Probed) { d.give(coordinator.Probed{Probed: p}) })
 	if d.server, err = listen(d, o.Config.Listen); err != nil {
 		front.Close()
 		return nil, fmt.Errorf("%w: %w", ErrEnvironment, err)
@@ -220,7 +241,7 @@
 	d.step(inputs)
 	var events []event
 	for ctx.Err() == nil {
-		events = d.inbox.next(ctx, events[:0], func() <-chan time.Time {
+		events = d.inbox.Next(ctx, events[:0], func() <-chan time.Time {
 			if wait := d.core.Next() - d.clock.Now(); wait > 0 {
 				return d.clock.After(wait)
 			}
@@ -276,7 +297,7 @@
 				d.front.Publish(o)
 			}
 		case coordinator.Probe:
-			d.probes.probe(o.Backend)
+			d.probes.Probe(o.Backend)
 		case coordinator.Watch:
 			if d.source != nil {
 				d.source.Watch(o.On)
@@ -334,8 +355,8 @@
 
 func (d *Daemon) close() {
 	d.server.close()
-	d.probes.close()
-	d.inbox.close()
+	d.probes.Close()
+	d.inbox.Close()
 	closed := make(chan struct{})
 	go func() {
 		if d.writer != nil {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"porthub/client"
+	clk "porthub/clock"
 	"porthub/config"
 	"porthub/control"
 	"porthub/coordinator"
@@ -44,7 +45,7 @@
 const threeNodes = `[{"targets": ["127.0.0.1:9001", "127.0.0.1:9002"], "labels": {"zone": "a"}},
 	{"targets": ["127.0.0.1:9003"], "labels": {"zone": "b"}}]`
 
-func newRig(t *testing.T, clock Clock, changes ...func(*config.Config)) *rig {
+func newRig(t *testing.T, clock clk.Clock, changes ...func(*config.Config)) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: t.TempDir()}
 	r.write("nodes.json", threeNodes)
@@ -68,7 +69,7 @@
 	return r
 }
 
-func (r *rig) start(clock Clock) {
+func (r *rig) start(clock clk.Clock) {
 	r.t.Helper()
 	d, err := New(Options{Config: r.cfg, Clock: clock, Tap: func(now control.Micros, inputs []coordinator.Input, core *coordinator.Core) {
 		r.mu.Lock()
--- a/daemon/nodes.go
+++ b/daemon/nodes.go
@@ -95,7 +95,7 @@
 
 func (d *Daemon) heard(c *coordinator.Core) []byte {
 	stats, nodes := c.Heard()
-	return text(Heard{c.Now(), stats, d.server.deferred.Load(), d.inbox.len(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
+	return text(Heard{c.Now(), stats, d.server.deferred.Load(), d.inbox.Len(), Times{d.took.TotalCount(), d.took.ValueAtQuantile(50), d.took.ValueAtQuantile(99),
 		d.took.Max()}, nodes})
 }
 
--- /dev/null
+++ b/front/resp/resp_test.go
@@ -0,0 +1,96 @@
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+var limits = Limits{Bytes: 200, Words: 8}
+
+func TestTake(t *testing.T) {
+	const ping = "*1\r\n$4\r\nPING\r\n"
+	for name, c := range map[string]struct {
+		text string
+		size int
+		bad  bool
+	}{
+		"whole":                   {ping, len(ping), false},
+		"two":                     {ping + ping, len(ping), false},
+		"an empty word":           {"*2\r\n$0\r\n\r\n$1\r\na\r\n", 17, false},
+		"nothing":                 {"", 0, false},
+		"part of a count":         {"*1", 0, false},
+		"part of a string":        {"*1\r\n$4\r\nPI", 0, false},
+		"all but the end":         {"*1\r\n$4\r\nPING\r", 0, false},
+		"HTTP":                    {"GET / HTTP/1.1\r\n", 0, true},
+		"an inline command":       {"PING\r\n", 0, true},
+		"no words":                {"*0\r\n", 0, true},
+		"a null array":            {"*-1\r\n", 0, true},
+		"too many words":          {"*9\r\n", 0, true},
+		"a nested array":          {"*1\r\n*1\r\n", 0, true},
+		"another type":            {"*1\r\n:1\r\n", 0, true},
+		"a null string":           {"*1\r\n$-1\r\n", 0, true},
+		"a string too long":       {"*1\r\n$201\r\n", 0, true},
+		"an endless length":       {"*1\r\n$" + strings.Repeat("0", 30), 0, true},
+		"an absurd length":        {"*1\r\n$99999999999999999999", 0, true},
+		"strings too long in all": {"*2\r\n$150\r\n" + strings.Repeat("a", 150) + "\r\n$60\r\n", 0, true},
+		"no line end":             {"*1\r\n$4\r\nPING--", 0, true},
+		"a line end too few":      {"*1\n$4\r\nPING\r\n", 0, true},
+		"an empty length":         {"*\r\n", 0, true},
+	} {
+		words, size, err := Take([]byte(c.text), limits)
+		var e *Error
+		if errors.As(err, &e) != c.bad || size != c.size || (size > 0) != (len(words) > 0) {
+			t.Errorf("%s: %q, %d bytes, %v", name, words, size, err)
+		}
+	}
+}
+
+// However a stream is split, the same messages come of it; what is written is read again.
+func FuzzTake(f *testing.F) {
+	f.Add([]byte("*1\r\n$4\r\nPING\r\n*3\r\n$4\r\nLOAD\r\n$0\r\n\r\n$1\r\na\r\n"), uint8(3))
+	f.Add([]byte("*1\r\n$4\r\nPINGxx*1"), uint8(0))
+	f.Add([]byte("*99999\r\n$-1\r\n"), uint8(1))
+	take := func(all [][]byte) (out []string) {
+		var buf []byte
+		for _, part := range all {
+			buf = append(buf, part...)
+			for {
+				words, size, err := Take(buf, limits)
+				if err != nil {
+					return append(out, "error")
+				}
+				if size == 0 {
+					break
+				}
+				var texts []string
+				for _, w := range words {
+					texts = append(texts, string(w))
+				}
+				again := Append(nil, texts...)
+				if got, n, err := Take(again, Limits{Bytes: len(again), Words: len(texts)}); err != nil || n != len(again) || len(got) != len(texts) {
+					f.Errorf("%q written as %q: %v", texts, again, err)
+				}
+				out, buf = append(out, strings.Join(texts, "\x00")), buf[size:]
+			}
+		}
+		return out
+	}
+	f.Fuzz(func(t *testing.T, stream []byte, step uint8) {
+		var split [][]byte
+		for rest := stream; len(rest) > 0; {
+			n := min(len(rest), int(step)+1)
+			split, rest = append(split, rest[:n]), rest[n:]
+		}
+		if whole, parts := take([][]byte{stream}), take(split); strings.Join(whole, "|") != strings.Join(parts, "|") {
+			t.Fatalf("whole %q, split %q", whole, parts)
+		}
+	})
+}
+
+func TestText(t *testing.T) {
+	if got := Text([][]byte{[]byte("A\n"), bytes.Repeat([]byte("b"), 100)}, 5); got != `A\n bb` {
+		t.Errorf("%q", got)
+	}
+}
--- a/daemon/inbox_test.go
+++ b/inbox/inbox_test.go
@@ -1,4 +1,4 @@
-package daemon
+package inbox
 
 import (
 	"context"
@@ -6,26 +6,26 @@
 	"sync"
 	"testing"
 	"time"
-
-	"porthub/coordinator"
 )
 
+const plainLength = 8192
+
 // Eight producers, one of which presses: nothing is lost, each one's events come in its order, and the loop that sleeps is
 // woken for each, however they meet.
 func TestInboxLosesNothing(t *testing.T) {
 	const producers, each = 8, 20000
-	b := newInbox(0, false)
+	b := New[[2]int](plainLength, plainLength, nil)
 	var all sync.WaitGroup
 	for p := range producers {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			put := b.offer
+			put := b.Offer
 			if p == 0 {
-				put = b.press
+				put = b.Press
 			}
 			for i := range each {
-				for !put(event{inputs: []coordinator.Input{[2]int{p, i}}}) {
+				for !put([2]int{p, i}) {
 					runtime.Gosched() // full
 				}
 				if i%64 == 0 {
@@ -37,11 +37,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	next, taken := [producers]int{}, 0
-	var events []event
+	var events [][2]int
 	for taken < producers*each && ctx.Err() == nil {
-		events = b.next(ctx, events[:0], func() <-chan time.Time { return time.After(time.Hour) })
+		events = b.Next(ctx, events[:0], func() <-chan time.Time { return time.After(time.Hour) })
 		for _, e := range events {
-			in := e.inputs[0].([2]int)
+			in := e
 			if in[1] != next[in[0]] {
 				t.Fatalf("of %d came %d, not %d", in[0], in[1], next[in[0]])
 			}
@@ -50,47 +50,47 @@
 		}
 	}
 	all.Wait()
-	if taken != producers*each || b.len() != 0 {
-		t.Errorf("%d taken, %d said to wait", taken, b.len())
+	if taken != producers*each || b.Len() != 0 {
+		t.Errorf("%d taken, %d said to wait", taken, b.Len())
 	}
 }
 
 // A full plain lane refuses, and what is urgent still gets in and is taken first; a closed inbox keeps nobody.
 func TestInboxLanes(t *testing.T) {
-	b := newInbox(0, false)
+	b := New[[2]int](plainLength, plainLength, nil)
 	n := 0
-	for b.offer(event{inputs: []coordinator.Input{n}}) {
+	for b.Offer([2]int{0, n}) {
 		n++
 	}
-	if n != plainLength || b.len() != n {
-		t.Errorf("%d taken in, %d said", n, b.len())
+	if n != plainLength || b.Len() != n {
+		t.Errorf("%d taken in, %d said", n, b.Len())
 	}
-	b.give("drain")
-	events := b.next(context.Background(), nil, func() <-chan time.Time { return nil })
-	if len(events) != batchMost || events[0].inputs[0] != "drain" || events[1].inputs[0] != 0 {
-		t.Errorf("%d events, first %v, %v", len(events), events[0].inputs, events[1].inputs)
+	b.Give([2]int{1, 0})
+	events := b.Next(context.Background(), nil, func() <-chan time.Time { return nil })
+	if len(events) != BatchMost || events[0] != [2]int{1, 0} || events[1] != [2]int{0, 0} {
+		t.Errorf("%d events, first %v, %v", len(events), events[0], events[1])
 	}
-	for b.press(event{}) {
+	for b.Press([2]int{}) {
 	}
-	b.close()
-	b.give("nobody takes it") // returns
+	b.Close()
+	b.Give([2]int{}) // nobody takes it: it returns
 }
 
 func BenchmarkInbox(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
-	box := newInbox(0, false)
+	box := New[[2]int](plainLength, plainLength, nil)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		var events []event
+		var events [][2]int
 		for ctx.Err() == nil {
-			events = box.next(ctx, events[:0], func() <-chan time.Time { return time.After(time.Second) })
+			events = box.Next(ctx, events[:0], func() <-chan time.Time { return time.After(time.Second) })
 		}
 	}()
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			for !box.offer(event{}) {
+			for !box.Offer([2]int{}) {
 				runtime.Gosched()
 			}
 		}
@@ -102,11 +102,11 @@
 // BenchmarkChannel is what the inbox was before.
 func BenchmarkChannel(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
-	box := make(chan event, plainLength)
+	box := make(chan [2]int, plainLength)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		var events []event
+		var events [][2]int
 		for {
 			select {
 			case <-ctx.Done():
@@ -115,7 +115,7 @@
 				events = append(events[:0], e)
 			case <-time.After(time.Second):
 			}
-			for more := true; more && len(events) < batchMost; {
+			for more := true; more && len(events) < BatchMost; {
 				select {
 				case e := <-box:
 					events = append(events, e)
@@ -130,7 +130,7 @@
 		for pb.Next() {
 			for sent := false; !sent; {
 				select {
-				case box <- event{}:
+				case box <- [2]int{}:
 					sent = true
 				default:
 					runtime.Gosched()
--- /dev/null
+++ b/probe/probe.go
@@ -0,0 +1,114 @@
+// Package probe examines backends by a GET.
+package probe
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"porthub/control"
+)
+
+// Options say how. URL tells where a backend answers, or that it has no place; Loads reads the figures of an answer whose
+// body is cut after BodyMost bytes.
+type Options struct {
+	Timeout time.Duration
+	AtOnce  int
+	URL     func(control.Backend) (string, bool)
+	Loads   func(*http.Response) control.Loads
+}
+
+// BodyMost is what is read of an answer's body: load reports have a hundred bytes or so.
+const BodyMost = 1 << 16
+
+// Prober examines so many at once, with so many waiting.
+type Prober struct {
+	o     Options
+	told  func(control.Probed)
+	queue chan control.Backend
+	http  *http.Client
+	end   context.CancelFunc
+}
+
+// New starts a prober; it tells of each probe once.
+func New(o Options, told func(control.Probed)) *Prober {
+	ctx, end := context.WithCancel(context.Background())
+	p := &Prober{o: o, told: told, queue: make(chan control.Backend, 1024), end: end,
+		http: &http.Client{Timeout: o.Timeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	for range o.AtOnce {
+		go p.work(ctx)
+	}
+	return p
+}
+
+// Close ends it; what waits is told no more.
+func (p *Prober) Close() { p.end() }
+
+// Probe asks for one.
+func (p *Prober) Probe(b control.Backend) {
+	select {
+	case p.queue <- b:
+	default:
+		go p.told(control.Probed{Backend: b, Code: "QueueFull"})
+	}
+}
+
+func (p *Prober) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-p.queue:
+			p.told(p.one(ctx, b))
+		}
+	}
+}
+
+func (p *Prober) one(ctx context.Context, b control.Backend) control.Probed {
+	start := time.Now()
+	found := control.Probed{Backend: b}
+	url, has := p.o.URL(b)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil || !has {
+		found.Code = "Failed"
+		return found
+	}
+	res, err := p.http.Do(req)
+	found.Took = control.Micros(time.Since(start).Microseconds())
+	if err != nil {
+		found.Code = probeCode(err)
+		return found
+	}
+	defer res.Body.Close()
+	res.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.LimitReader(res.Body, BodyMost), res.Body}
+	found.Loads = p.o.Loads(res)
+	_, _ = io.Copy(io.Discard, res.Body)
+	switch {
+	case res.StatusCode < 300:
+		found.OK, found.Code = true, "Ok"
+	case res.StatusCode == http.StatusServiceUnavailable:
+		found.Code = "QueueFull"
+	default:
+		found.Code = "Failed"
+	}
+	return found
+}
+
+func probeCode(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "TimedOut"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "ConnectError"
+	default:
+		return "ResetByPeer"
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -220,7 +220,10 @@
 	switch f.name {
 	case "UP":
 		seed := f.seed("nonce64")
-		up := settings(f.last("info"), f)
+		up, err := Settings([]byte(f.last("info")))
+		if err != nil {
+			f.fail("info", err.Error())
+		}
 		up.Seed = seed
 		names := map[string]control.ReqKind{}
 		for k, kind := range up.Kinds {
@@ -349,8 +352,9 @@
 	return e, nil
 }
 
-// settings reads the JSON of UP; keys not named here are passed over.
-func settings(text string, f *fields) control.Up {
+// Settings reads the object of settings that UP brings and that a live coordinator finds in its configuration; keys not
+// named here are passed over.
+func Settings(text []byte) (control.Up, error) {
 	var in struct {
 		Az         control.Zone
 		Localities []control.Zone
@@ -387,9 +391,8 @@
 			OnlyZones              []control.Zone
 		}
 	}
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		f.fail("info", err.Error())
-		return control.Up{}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return control.Up{}, err
 	}
 	up := control.Up{
 		Me: in.Me, Instances: max(1, in.Instances), Zone: in.Az, Zones: in.Localities, Proxies: in.Domain.DataPlaneSize,
@@ -425,7 +428,7 @@
 		kind.OwnZone = k < len(in.Domain.ClassOwnZone) && in.Domain.ClassOwnZone[k]
 		up.Kinds = append(up.Kinds, kind)
 	}
-	return up
+	return up, nil
 }
 
 // Writer writes replies.
