Levels count on reqs that come by chance: a rate passes less than its fluid share

Ruled out: limits (5 of 30 backends, 0.9 of their room), queues and answer times (20 of 260 off), sick marks (none).

Cause: planner.level took min(rate, usage) for what a rate lets through at a proxy. With 150 proxies a pair of proxy and kind has 0.5 to 0.8 reqs a second that come by chance: a limiter of 0.45 lets 0.29 of 0.8 through. Clients repeat what is refused, usage grows, levels stay. passes() counts as a limiter with room for two seconds' worth, one req at least; a test holds it against drawn courses.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -676,6 +676,20 @@
 	return admits
 }
 
+// passes is how much of reqs that come by chance a rate lets through. Less than the lower of the two: what a
+// quiet moment leaves over is lost but for two seconds' worth, and one req at least. (The tokens are the queue of
+// a server with as many places.) Where a proxy has few reqs a second it is a third less.
+func passes(usage, rate float64) float64 {
+	if usage <= 0 || rate <= 0 {
+		return 0
+	}
+	part, places := rate/usage, max(1, 2*rate)
+	if math.Abs(part-1) < 1e-3 {
+		return usage * places / (places + 1)
+	}
+	return usage * (1 - (1-part)/(1-math.Pow(part, places+1)))
+}
+
 // level turns the part of a kind to be turned away into a level. One rate holds at all proxies, however
 // unequal: it is set so that, by their usage, what it lets in at all of them together is right.
 func (p *planner) level(k int, away, usage float64) float64 {
@@ -688,7 +702,7 @@
 	for range 20 {
 		rate, in := (low+high)/2, 0.0
 		for _, f := range p.flows {
-			in += min(rate, f.usage[k])
+			in += passes(f.usage[k], rate)
 		}
 		if in < (1-away)*usage {
 			low = rate
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -509,3 +511,27 @@
 		t.Errorf("all are warm, the table's level is %.1f", level)
 	}
 }
+
+// What a rate lets through of reqs that come by chance is what a limiter with two seconds' worth of room, for one at least,
+// lets through of a drawn course; it never is more than the lower of the two, and a rate that is far above passes all.
+func TestPasses(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	for _, c := range []struct{ usage, rate float64 }{{0.8, 0.45}, {0.8, 0.8}, {0.5, 5}, {3, 1}, {3, 3}, {10, 6}, {40, 35}} {
+		const seconds = 4000
+		places, room, in := max(1, 2*c.rate), 1.0, 0.0
+		for at := 0.0; at < seconds; {
+			gap := draw.ExpFloat64() / c.usage
+			at += gap
+			if room = min(places, room+gap*c.rate); room >= 1 {
+				room, in = room-1, in+1
+			}
+		}
+		got := passes(c.usage, c.rate)
+		if drawn := in / seconds; math.Abs(got-drawn) > 0.15*drawn || got > min(c.usage, c.rate) {
+			t.Errorf("usage %g, rate %g: %.3f passes, %.3f of a drawn course", c.usage, c.rate, got, drawn)
+		}
+	}
+	if passes(0, 1) != 0 || passes(1, 0) != 0 || passes(2, 1e6) < 1.999 {
+		t.Errorf("%g, %g, %g", passes(0, 1), passes(1, 0), passes(2, 1e6))
+	}
+}
