Groups of a third more backends where reports come late

Seen: on sockets, with 150 proxies and 200 report lines a second, groups were of two backends; in bursts 20% of the answers were late while other groups of the zone had room (spread 2.2).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -321,7 +321,7 @@
 // anew where the list has grown to more than twice, as after a start by a short, wrong one.
 func (p *planner) found(fleet []view) {
 	pairs := float64(p.proxies*len(p.kinds)/p.instances + len(fleet)/len(p.zones))
-	size, count := max(2, int(math.Ceil(1.5*pairs/p.intake))), make([]int, len(p.zones))
+	size, count := max(2, int(math.Ceil(2*pairs/p.intake))), make([]int, len(p.zones))
 	for _, v := range fleet {
 		if v.zone >= 0 {
 			count[v.zone]++
