--- a/choice/choice.go
+++ b/choice/choice.go
@@ -723,15 +723,8 @@
 // queued until acknowledged, whatever the stated pace, so that a channel that runs slow holds back by itself;
 // routine leaves most of each limit to what is urgent, and the last messages are left to proxies that join.
 func (c *channel) send(now micros, w want) {
-	waiting, messages, users := 0.0, 0, map[control.Table][]*stream{} // users by the first of their tables
+	waiting, messages, users := c.waiting(), 0, map[control.Table][]*stream{} // users by the first of their tables
 	for _, s := range c.streams {
-		for _, m := range s.unsaid {
-			// Messages leave in succession: what went out before another that was acknowledged waits no more, even
-			// if its own proxy has fallen silent and never says so.
-			if m.reply >= c.passed {
-				waiting += m.lines
-			}
-		}
 		s.sent = slices.DeleteFunc(s.sent, func(at micros) bool { return now-at > c.span })
 		messages = max(messages, len(s.sent))
 		users[s.home] = append(users[s.home], s)
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -162,6 +162,61 @@
 	return in.out.orders
 }
 
+// Belief is what an instance takes to be so, for staff to hold against what passes.
+type Belief struct {
+	Proxies, Unsaid      int     // joined, and messages that they have not acknowledged
+	Queued               float64 // lines taken to wait in the channel
+	Ready, Sick, Cold    int     // backends: listed ready; of those, sick from somewhere or eased in
+	Limited              int     // of those, slow for three reports
+	Asked, Served, Room  float64 // reqs a second: usage, done as last heard, what the ready ones can do
+	Pace, Use, LetIn     float64 // LetIn 0: levels are off
+	Actors, Tables, Late int     // kept; Late: reqs queued by the backends' own word
+}
+
+// Belief tells; it changes nothing.
+func (in *Instance) Belief() Belief {
+	pl, ch := in.planner, in.parts[len(in.parts)-1].(*channel)
+	b := Belief{Proxies: len(ch.streams), Queued: ch.waiting(), Asked: sum(pl.asked), Pace: pl.pace, Use: pl.use, LetIn: pl.letIn,
+		Actors: len(in.roll.order), Tables: len(ch.tables)}
+	for _, s := range ch.streams {
+		b.Unsaid += len(s.unsaid)
+	}
+	for _, v := range pl.views {
+		if !v.ready {
+			continue
+		}
+		b.Ready, b.Served, b.Late = b.Ready+1, b.Served+v.served, b.Late+int(v.queue)
+		if slices.Contains(v.sick, true) {
+			b.Sick++
+		}
+		if v.share < 1 {
+			b.Cold++
+		}
+		if v.limit > 0 {
+			b.Limited++
+		}
+	}
+	for _, c := range pl.crews {
+		if c.group == pl.groups {
+			b.Room += c.room
+		}
+	}
+	return b
+}
+
+// waiting is how many lines may still wait in the channel. Messages leave in succession: what went out before another that
+// was acknowledged waits no more, even if its own proxy has fallen silent and never says so.
+func (c *channel) waiting() (lines float64) {
+	for _, s := range c.streams {
+		for _, m := range s.unsaid {
+			if m.reply >= c.passed {
+				lines += m.lines
+			}
+		}
+	}
+	return lines
+}
+
 // run empties the inboxes, round after round, until none has a note.
 func (in *Instance) run(now micros) {
 	for busy := true; busy; {
