--- a/choice/parts.go
+++ b/choice/parts.go
@@ -164,13 +164,14 @@
 
 // Belief is what an instance takes to be so, for staff to hold against what passes.
 type Belief struct {
-	Proxies, Unsaid      int     // joined, and messages that they have not acknowledged
-	Queued               float64 // lines taken to wait in the channel
-	Ready, Sick, Cold    int     // backends: listed ready; of those, sick from somewhere or eased in
-	Limited              int     // of those, slow for three reports
-	Asked, Served, Room  float64 // reqs a second: usage, done as last heard, what the ready ones can do
-	Pace, Use, LetIn     float64 // LetIn 0: levels are off
-	Actors, Tables, Late int     // kept; Late: reqs queued by the backends' own word
+	Proxies, Unsaid     int     // joined, and messages that they have not acknowledged
+	Queued              float64 // lines taken to wait in the channel
+	Ready, Sick, Cold   int     // backends: listed ready; of those, sick from somewhere or eased in
+	Limited             int     // of those, slow for three reports
+	Asked, Served, Room float64 // reqs a second: usage, done as last heard, what the ready ones can do
+	Pace, Use, LetIn    float64 // LetIn 0: levels are off
+	Actors, Tables      int     // kept
+	Waiting             int     // reqs queued, by the backends' own word
 }
 
 // Belief tells; it changes nothing.
@@ -185,7 +186,7 @@
 		if !v.ready {
 			continue
 		}
-		b.Ready, b.Served, b.Late = b.Ready+1, b.Served+v.served, b.Late+int(v.queue)
+		b.Ready, b.Served, b.Waiting = b.Ready+1, b.Served+v.served, b.Waiting+int(v.queue)
 		if slices.Contains(v.sick, true) {
 			b.Sick++
 		}
--- a/cmd/porthub/node_test.go
+++ b/cmd/porthub/node_test.go
@@ -47,17 +47,25 @@
 		"known":{"seq":7,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","site":"a","class":"m","block":1,"health":"Ready","share":1,"born_ms":0}]},
 		"settings":{"localities":["a"],"resolution":4000,"discovery":"ask","domain":{"dataPlaneSize":4,"period":1000000,"queueCap":5000,"envelope":6},
 		"profiles":[{"name":"view","effect":"repeatable","slo":750000,"points":1}]}}`
-	run := func(text string) (*exec.Cmd, *bytes.Buffer) {
+	run := func(text string) (*exec.Cmd, func() string) {
 		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		cmd, out := exec.Command(bin, "node"), &bytes.Buffer{}
+		log, err := os.CreateTemp(t.TempDir(), "log")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer log.Close()
+		cmd := exec.Command(bin, "node")
 		cmd.Env = append(os.Environ(), "NODE_CONFIG="+file)
-		cmd.Stdout, cmd.Stderr = out, out
+		cmd.Stdout, cmd.Stderr = log, log
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
-		return cmd, out
+		return cmd, func() string {
+			text, _ := os.ReadFile(log.Name())
+			return string(text)
+		}
 	}
 	code := func(cmd *exec.Cmd) int {
 		var failed *exec.ExitError
@@ -73,7 +81,7 @@
 			break
 		}
 		if time.Now().After(end) {
-			t.Fatalf("nobody listens: %v: %s", err, out)
+			t.Fatalf("nobody listens: %v: %s", err, out())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -86,7 +94,7 @@
 		buf := make([]byte, 4096)
 		n, err := c.Read(buf)
 		if got = append(got, buf[:n]...); err != nil {
-			t.Fatalf("%v after %q: %s", err, got, out)
+			t.Fatalf("%v after %q: %s", err, got, out())
 		}
 	}
 	if words, n, err := resp.Take(got, platform.InLimits); err != nil || n == 0 || string(words[0]) != "PONG" {
@@ -96,12 +104,21 @@
 		t.Errorf("asked discovery for %s", uri)
 	}
 	taken, takenOut := run(config)
-	if n := code(taken); n != exitEnvironment || strings.Count(takenOut.String(), "\n") != 1 {
-		t.Errorf("an address that is taken: %d, %s", n, takenOut)
+	if n := code(taken); n != exitEnvironment || strings.Count(takenOut(), "\n") != 1 {
+		t.Errorf("an address that is taken: %d, %s", n, takenOut())
+	}
+	if err := os.WriteFile(file, []byte("{"), 0o644); err != nil { // half a configuration: the old one stays in force
+		t.Fatal(err)
 	}
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(out(), "the configuration stays as it is"); {
+		if time.Now().After(end) {
+			t.Fatalf("nothing is said of a bad file: %s", out())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	_, _ = c.Write(resp.Append(nil, "PING"))
 	for !bytes.HasSuffix(got, []byte("PONG\r\n")) || len(got) < 40 {
 		buf := make([]byte, 4096)
@@ -115,15 +132,15 @@
 		t.Fatal(err)
 	}
 	if n := code(cmd); n != exitWell || time.Since(began) > 5*time.Second {
-		t.Errorf("SIGTERM: %d after %s: %s", n, time.Since(began), out)
+		t.Errorf("SIGTERM: %d after %s: %s", n, time.Since(began), out())
 	}
 	if _, err := io.ReadAll(c); err != nil && !errors.Is(err, syscall.ECONNRESET) {
 		t.Error(err)
 	}
 	for want, text := range map[string]string{"not the JSON": "{", "settings": `{"listen":"a:1","discovery":"b:2"}`, "listen": `{"discovery":"b:2"}`} {
 		cmd, out := run(text)
-		if n := code(cmd); n != exitUsage || !strings.Contains(out.String(), want) || strings.Count(out.String(), "\n") != 1 {
-			t.Errorf("%s: %d, %s", text, n, out)
+		if n := code(cmd); n != exitUsage || !strings.Contains(out(), want) || strings.Count(out(), "\n") != 1 {
+			t.Errorf("%s: %d, %s", text, n, out())
 		}
 	}
 	none := exec.Command(bin, "node")
