--- /dev/null
+++ b/cmd/porthub/deploy_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The deploy file's own line builds a program that names a dynamic loader and the C library, and `run` becomes that one
+// process: the platform loads a library of its own into it.
+func TestDeployFileBuildsDynamically(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := func(key string) string {
+		found := regexp.MustCompile(`(?m)^` + key + ` = "(.*)"$`).FindSubmatch(text)
+		if found == nil {
+			t.Fatalf("no %s in the deploy file", key)
+		}
+		return string(found[1])
+	}
+	if run := value("run"); run != "exec bin/porthub node" {
+		t.Errorf("run is %q: one process has to take the shell's place", run)
+	}
+	// What lies in bin may be in use: the line puts its programs elsewhere here.
+	dir := t.TempDir()
+	cmd := exec.Command("/bin/sh", "-c", strings.ReplaceAll(value("build"), "-o bin/", "-o "+dir+"/"))
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	program, err := elf.Open(filepath.Join(dir, "porthub"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer program.Close()
+	if !slices.ContainsFunc(program.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Error("the program names no dynamic loader")
+	}
+	libraries, err := program.ImportedLibraries()
+	if err != nil || !slices.ContainsFunc(libraries, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("the program is not linked against the C library: %v, %v", libraries, err)
+	}
+}
