A dial ends with the call that wanted it: descriptors no longer pile up at a cut

Cause: the standard HTTP transport detaches a dial from its request and lets it go on when the request has ended (getConn: 'the dial should proceed even if the request is canceled'), and probe.New and newDiscovery had no limit on dials. Towards a machine that has vanished a SYN is answered by nobody, so each call that is given up after 1.25 s (probes, eight at once) or 4.5 s (discovery) leaves a descriptor for the system's two minutes; 24 are set aside for all of that, and an accept that finds none ends gnet's loop, and with it the program. Seen in a probe before the change: three calls given up, three connections in SYN_SENT two seconds later.

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"porthub/control"
+	"porthub/outbound"
 )
 
 // Options say how. URL tells where a backend answers, or that it has no place; Loads reads the figures of an answer whose
@@ -38,7 +39,7 @@
 func New(o Options, told func(control.Probed)) *Prober {
 	ctx, end := context.WithCancel(context.Background())
 	p := &Prober{o: o, told: told, queue: make(chan control.Backend, 1024), end: end,
-		http: &http.Client{Timeout: o.Timeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+		http: &http.Client{Timeout: o.Timeout, Transport: outbound.Transport()}}
 	for range o.AtOnce {
 		go p.work(ctx)
 	}
