--- a/cmd/porthub/node.go
+++ b/cmd/porthub/node.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -28,6 +29,13 @@
 		Example: "  NODE_CONFIG=/run/balancer/config.json porthub node",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			// Before anything else: a signal that finds no handler ends the process. A new configuration that is told of
+			// before the first one has been read is read once more when the node stands.
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			again := make(chan os.Signal, 1)
+			signal.Notify(again, syscall.SIGHUP)
+			defer signal.Stop(again)
 			log, err := logger("info")
 			if err != nil {
 				return err
@@ -38,29 +46,48 @@
 				return err
 			}
 			within(cfg.Limits)
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
-			again := make(chan os.Signal, 1)
-			signal.Notify(again, syscall.SIGHUP)
 			n, err := node.New(cfg, log)
 			if err != nil {
 				return environment(err)
 			}
-			go func() {
-				for range again {
-					if fresh, err := readNodeConfig(); err != nil {
-						log.Warn("the configuration stays as it is", zap.Error(err))
-					} else {
-						n.Reload(fresh)
-					}
-				}
-			}()
+			go follow(ctx, again, n, log)
 			log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", n.Addr()), zap.Any("limits", cfg.Limits))
 			return environment(n.Run(ctx))
 		},
 	}
 }
 
+// rereads are the pauses before a configuration that could not be read is tried again: one that is being replaced is whole
+// before long.
+var rereads = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+
+// follow puts the configuration in force anew with each signal.
+func follow(ctx context.Context, again <-chan os.Signal, n *node.Node, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		for try := 0; ; try++ {
+			fresh, err := readNodeConfig()
+			if err == nil {
+				n.Reload(fresh)
+				break
+			}
+			if try == len(rereads) {
+				log.Warn("the configuration stays as it is", zap.Error(err))
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(rereads[try]):
+			}
+		}
+	}
+}
+
 // environment gives a failure of the machine the exit code that other commands have for it.
 func environment(err error) error {
 	if errors.Is(err, node.ErrEnvironment) {
