Losses go out before levels and routine; what waits in the channel is counted truly

Lines at fault, in choice: - change: a table went out whole or not at all, so that 7 lost lines waited for room for 57; - change: levels went first and up to nine tenths of the queue; send: a joining, or any routine that was left, made all of it urgent, up to three quarters; above that losses waited as well, while joinings fill it to four fifths; - change: tables were tried in the same order each time, the first took what there was; - waiting: lines of streams that left counted no more (48,831 before, 14,156 after 1,529 proxies were killed, while they still waited), and an acknowledgement let all that went out before it count as gone. A trial shows acknowledgements up to 5.7 s out of order.

Now losses go first, alone if the whole does not fit, up to nine tenths of the queue and with messages of their own; levels and routine begin while a quarter waits at most, tables in turn; lines count until acknowledged, or on the way for half as long again as any lately acknowledged and two reports; levels that stand go with the first table.

Tests in choice/channel_test.go; each fails without its mend (tried: whole or nothing, the gate by the queue, levels first, lines of those who left, the same order).

--- /dev/null
+++ b/choice/channel_test.go
@@ -0,0 +1,181 @@
+package choice
+
+import (
+	"testing"
+
+	"porthub/control"
+)
+
+// channelOf is a channel with so many proxies bound to the first table of a hundred backends, all acknowledged.
+func channelOf(t *testing.T, proxies int) (*channel, *outbox, want) {
+	out := &outbox{}
+	c := newChannel(out, 60000, 6, 20, 10*second, second)
+	c.masks = []control.Kinds{7}
+	w := want{homes: map[control.Proxy]control.Table{}, lines: [][]line{nil}, caps: []float64{everything}}
+	for b := range 100 {
+		w.lines[0] = append(w.lines[0], line{control.Backend(rune('A' + b)), 1})
+	}
+	for p := range proxies {
+		c.take(0, control.Joined{Proxy: control.Proxy(p)})
+		w.homes[control.Proxy(p)] = 0
+	}
+	for at := micros(0); c.bound() < proxies; at += second / 10 {
+		c.send(at, w)
+		c.answerAll()
+		if at > 100*second {
+			t.Fatal("they are not bound")
+		}
+	}
+	out.orders = nil
+	return c, out, w
+}
+
+func (c *channel) bound() (n int) {
+	for _, s := range c.streams {
+		if s.home >= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *channel) answerAll() {
+	for p, s := range c.streams {
+		for len(s.unsaid) > 0 {
+			c.take(0, control.Applied{Proxy: p, Mark: s.unsaid[len(s.unsaid)-1].mark})
+		}
+	}
+}
+
+func (o *outbox) losses() (n int) {
+	for _, order := range o.orders {
+		if l, is := order.(control.Line); is && l.Weight == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// The queue is nearly full, and a drain comes that changes all other lines as well: the loss goes out alone, at once, though the
+// whole change would not fit. The rest follows when there is room.
+func TestLossGoesOutThroughAFullQueue(t *testing.T) {
+	c, out, w := channelOf(t, 500)
+	now := 200 * second
+	c.left = []posted{{at: now, lines: 0.8 * c.queueCap}} // more than routine, and more than joins, would wait for
+	drained := want{homes: w.homes, urgent: true, caps: w.caps, lines: [][]line{nil}}
+	for _, l := range w.lines[0][3:] {
+		drained.lines[0] = append(drained.lines[0], line{l.backend, 2})
+	}
+	c.send(now, drained)
+	if lines, lost := len(out.orders)-1, out.losses(); lost != 3 || lines != 3 {
+		t.Fatalf("%d lines are lost, %d ordered, of %d that drain", lost, lines, 3)
+	}
+	if waiting := c.waiting(c.lastAt); waiting > 0.95*c.queueCap {
+		t.Errorf("%.0f lines wait, %.0f may", waiting, c.queueCap)
+	}
+	c.left, out.orders = nil, nil
+	c.answerAll()
+	c.send(now+2*second, drained)
+	if lines := len(out.orders) - 1; lines != 97 {
+		t.Errorf("%d of 97 other lines follow", lines)
+	}
+}
+
+// Levels that move with each report go out as long as little waits, and no faster than proxies acknowledge them: the queue
+// stays open for what must not wait.
+func TestLevelsLeaveTheQueueOpen(t *testing.T) {
+	c, _, w := channelOf(t, 500)
+	w.urgent = true // lists change all the time
+	for beat := range 20 {
+		w.admits = []control.Admit{{Table: control.AllTables, Kinds: 7, Level: 10 + float64(beat), SecondTry: 1}}
+		c.send(micros(300+beat)*second, w)
+	}
+	if waiting := c.waiting(c.lastAt); waiting == 0 || waiting > 0.5*c.queueCap {
+		t.Errorf("%.0f lines wait, of %.0f", waiting, c.queueCap)
+	}
+}
+
+// Proxies leave with messages on the way to them: those lines wait in the channel all the same, though messages to others have
+// overtaken them, until they have been on their way for much longer than any that is acknowledged.
+func TestLinesOfThoseWhoLeftStillWait(t *testing.T) {
+	c, _, w := channelOf(t, 100)
+	for i := range w.lines[0] {
+		w.lines[0][i].weight = 3
+	}
+	now := 200 * second
+	c.send(now, w)
+	before := c.waiting(now)
+	if before < 100*100 {
+		t.Fatalf("%.0f lines wait", before)
+	}
+	for p := range 60 {
+		c.take(now, control.Left{Proxy: control.Proxy(p)})
+	}
+	for p := 60; p < 80; p++ { // the new stream before the old one's end
+		c.take(now, control.Joined{Proxy: control.Proxy(p)})
+	}
+	if after := c.waiting(now); after != before {
+		t.Errorf("%.0f lines waited, %.0f once most have left", before, after)
+	}
+	now += 2 * second
+	w.lines[0][0].weight = 9
+	c.send(now, w)
+	gone := 0.0
+	for _, m := range c.left {
+		gone += m.lines
+	}
+	now += 4 * second // the queue is that long: all that are there answer
+	for p, s := range c.streams {
+		c.take(now, control.Applied{Proxy: p, Mark: s.unsaid[len(s.unsaid)-1].mark})
+	}
+	if after := c.waiting(now); after != gone || gone != 0.8*before {
+		t.Errorf("%.0f lines wait when all that are there have acknowledged, %.0f went to those who have left", after, gone)
+	}
+	if after := c.waiting(now + 10*second); after != 0 {
+		t.Errorf("%.0f lines wait for ever", after)
+	}
+}
+
+// Tables whose change has to wait take turns: none waits for ever behind another that changes all the time.
+func TestTablesTakeTurns(t *testing.T) {
+	out := &outbox{}
+	c := newChannel(out, 60000, 6, 0, 10*second, second)
+	c.masks = []control.Kinds{7}
+	const tables = 4
+	w := want{homes: map[control.Proxy]control.Table{}, lines: make([][]line, tables), caps: make([]float64, tables)}
+	for i := range tables {
+		w.caps[i] = everything
+		for b := range 60 {
+			w.lines[i] = append(w.lines[i], line{control.Backend(rune('A' + b)), 1})
+		}
+	}
+	for p := range 800 {
+		c.take(0, control.Joined{Proxy: control.Proxy(p)})
+		w.homes[control.Proxy(p)] = control.Table(p % tables)
+	}
+	for at := micros(0); c.bound() < 800; at += second / 10 {
+		c.send(at, w)
+		c.answerAll()
+	}
+	sent := map[control.Table]int{}
+	for beat := range 12 {
+		for i := range tables {
+			for b := range w.lines[i] {
+				w.lines[i][b].weight *= 1.5
+			}
+		}
+		out.orders = nil
+		c.send(micros(100+beat)*second, w)
+		for _, order := range out.orders {
+			if l, is := order.(control.Line); is {
+				sent[l.Table]++
+			}
+		}
+		c.answerAll()
+	}
+	for i := range tables {
+		if sent[control.Table(i)] < 60 {
+			t.Errorf("by table %v lines went out", sent)
+		}
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -721,29 +721,31 @@
 
 // send brings the proxies nearer to how they should stand, as far as queue and messages allow. Lines count as
 // queued until acknowledged, whatever the stated pace, so that a channel that runs slow holds back by itself;
-// routine leaves most of each limit to what is urgent, and the last messages are left to proxies that join.
+// routine leaves most of each limit to losses, and the last messages to proxies that join. What these fill the
+// queue with holds no loss back: a loss is owed within the grace, however full the queue is.
 func (c *channel) send(now micros, w want) {
-	waiting, messages, users := c.waiting(), 0, map[control.Table][]*stream{} // users by the first of their tables
+	c.lastAt = now
+	waiting, messages, users := c.waiting(now), 0, map[control.Table][]*stream{} // by the first of their tables
 	for _, s := range c.streams {
 		s.sent = slices.DeleteFunc(s.sent, func(at micros) bool { return now-at > c.span })
 		messages = max(messages, len(s.sent))
 		users[s.home] = append(users[s.home], s)
 	}
-	every, lines, most := c.period, c.queueCap/4, c.most/2
+	every, most := c.period, c.most/2
 	if c.most > 0 {
 		every = max(every, 2*c.span/micros(c.most))
 	}
-	// What is urgent, a drain above all, stays so until it has gone out: one that came too soon after another
-	// change must not wait for the routine's turn.
-	if c.urgent = c.urgent || w.urgent; c.urgent {
-		every, lines, most = every/2, c.queueCap*3/4, c.most-2
+	// A loss that comes soon after another change must not wait for the routine's turn, and finds messages left.
+	lossy := now-c.lastSent >= every/2
+	if w.urgent {
+		every, most = every/2, c.most*3/4
 	}
-	free := now-c.lastSent >= every && waiting < lines && (c.most == 0 || messages < most)
+	free, lines := now-c.lastSent >= every && (c.most == 0 || messages < most), c.queueCap/4
 	if !free {
 		lines = 0
 	}
-	waiting, left := c.change(now, w, users, waiting, lines)
-	c.urgent = left && (free || c.urgent)
+	waiting = c.change(now, w, users, waiting, lines, lossy)
+	free = free && waiting < lines
 	marked := false
 	for _, p := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[p]
@@ -761,81 +763,66 @@
 		}
 		if s.cost > 0 {
 			if !marked {
-				c.mark, c.reply, marked = (c.mark+1)%65536, c.reply+1, true
+				c.mark, marked = (c.mark+1)%65536, true
 				c.out.add(control.Marked{Mark: c.mark})
 			}
 			if len(s.unsaid) >= unsaidMost {
 				s.unsaid = slices.Delete(s.unsaid, 0, 1)
 			}
-			s.unsaid = append(s.unsaid, posted{c.mark, c.reply, s.cost + c.head()})
+			s.unsaid = append(s.unsaid, posted{c.mark, now, s.cost + c.head()})
 			s.sent, s.cost = append(s.sent, now), 0
 		}
 	}
 }
 
-// change sends the lines and levels that differ by enough. A table goes out whole or not at all, those that
-// lose a line first and with more of the queue: what does not fit, be it that half the fleet changed at once,
-// waits. What nobody is bound to costs nothing and is always up to date. It returns the queue and whether
-// something was left.
+// change sends the lines and levels that differ by enough: first the tables that lose a line, with most of the
+// queue, and of one that does not fit at least the loss; then levels, then the other tables in turn, while no
+// more than most waits. What does not fit, be it that half the fleet changed at once, waits. What nobody is
+// bound to costs nothing and is always up to date. It returns the queue.
 func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
-	waiting, most float64) (float64, bool) {
-	left, second := false, 1
+	waiting, most float64, lossy bool) float64 {
+	second := 1
 	for _, a := range w.admits {
 		second = a.SecondTry
 	}
-	for _, a := range w.admits {
-		if most == 0 || waiting+float64(len(c.streams))*(c.head()+1) > 0.9*c.queueCap {
-			left = true
-		} else if c.admits[a.Kinds] != a {
-			c.admits[a.Kinds] = a
-			c.out.add(a)
-			for _, streams := range users {
-				waiting += c.charge(now, streams, 1)
-			}
-		}
-	}
-	for pass, limit := range []float64{min(0.9*c.queueCap, 1e9*most), most} { // nothing where most is 0
-		for i, lines := range w.lines {
-			if lines == nil {
+	fits := func(streams int, n float64) bool {
+		return streams == 0 || waiting+float64(streams)*(n+c.head()) <= 0.9*c.queueCap
+	}
+	heard := func(s *stream) bool { return c.most > 0 && len(s.sent) >= c.most-2 } // all that it may, but for joining
+	for _, losing := range []bool{true, false} {
+		start := c.turn
+		for i := range w.lines {
+			i = (i + start) % len(w.lines)
+			t := control.Table(i)
+			streams := users[t-t%control.Table(len(c.masks))]
+			if w.lines[i] == nil {
 				continue
 			}
-			t, wanted, loses := control.Table(i), map[control.Backend]float64{}, false
-			held := c.tables[t]
-			if held == nil {
-				held = map[control.Backend]float64{}
-				c.tables[t] = held
-			}
-			for b := range held {
-				wanted[b] = 0
-			}
-			for _, l := range lines {
-				wanted[l.backend] = l.weight
-			}
-			for b, weight := range wanted {
-				if loses = loses || weight == 0; weight >= 0.85*held[b] && weight <= 1.18*held[b] {
-					delete(wanted, b)
-				}
-			}
+			wanted, lost := c.differs(t, w.lines[i])
 			// A table's own level goes with its lines, so that it is there no later than what it guards.
 			old, has := c.caps[t]
 			own := control.Admit{Table: t, Kinds: c.masks[i%len(c.masks)], Level: w.caps[i], SecondTry: second}
 			near := own.Level >= 0.85*old.Level && own.Level <= 1.18*old.Level && second == old.SecondTry
-			news := !near && (has || own.Level < everything)
-			streams, n := users[t-t%control.Table(len(c.masks))], float64(len(wanted))
+			news, n := !near && (has || own.Level < everything), float64(len(wanted))
 			if news {
 				n++
 			}
-			if loses != (pass == 0) || n == 0 {
+			if losing != (lost > 0) || n == 0 {
 				continue
 			}
-			if len(streams) > 0 && waiting+float64(len(streams))*(n+c.head()) > limit {
-				left = true
+			open := len(streams) == 0 || !losing && waiting < most || losing && lossy && !slices.ContainsFunc(streams, heard)
+			if whole := fits(len(streams), n); open && !whole && losing && lost < len(c.tables[t]) && fits(len(streams), float64(lost)) {
+				maps.DeleteFunc(wanted, func(_ control.Backend, weight float64) bool { return weight > 0 })
+				n, news = float64(lost), false
+			} else if !open || !whole {
 				continue
+			} else if len(streams) > 0 && !losing {
+				c.turn = i + 1
 			}
 			waiting += c.charge(now, streams, n)
 			for _, b := range slices.Sorted(maps.Keys(wanted)) {
-				if held[b] = wanted[b]; held[b] == 0 {
-					delete(held, b)
+				if c.tables[t][b] = wanted[b]; wanted[b] == 0 {
+					delete(c.tables[t], b)
 				}
 				c.out.add(control.Line{Table: t, Backend: b, Weight: wanted[b]})
 			}
@@ -844,6 +831,42 @@
 				c.out.add(own)
 			}
 		}
+		if !losing {
+			break
+		}
+		for _, a := range w.admits {
+			if waiting < most && fits(len(c.streams), 1) && c.admits[a.Kinds] != a {
+				c.admits[a.Kinds] = a
+				c.out.add(a)
+				for _, streams := range users {
+					waiting += c.charge(now, streams, 1)
+				}
+			}
+		}
+	}
+	return waiting
+}
+
+// differs is what a table has to change by to be as wanted, and how many lines it loses by that.
+func (c *channel) differs(t control.Table, lines []line) (wanted map[control.Backend]float64, lost int) {
+	held := c.tables[t]
+	if held == nil {
+		held = map[control.Backend]float64{}
+		c.tables[t] = held
+	}
+	wanted = map[control.Backend]float64{}
+	for b := range held {
+		wanted[b] = 0
+	}
+	for _, l := range lines {
+		wanted[l.backend] = l.weight
+	}
+	for b, weight := range wanted {
+		if weight == 0 {
+			lost++
+		} else if weight >= 0.85*held[b] && weight <= 1.18*held[b] {
+			delete(wanted, b)
+		}
 	}
-	return waiting, left
+	return wanted, lost
 }
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -177,7 +177,7 @@
 // Belief tells; it changes nothing.
 func (in *Instance) Belief() Belief {
 	pl, ch := in.planner, in.parts[len(in.parts)-1].(*channel)
-	b := Belief{Proxies: len(ch.streams), Queued: ch.waiting(), Asked: sum(pl.asked), Pace: pl.pace, Use: pl.use, LetIn: pl.letIn,
+	b := Belief{Proxies: len(ch.streams), Queued: ch.waiting(ch.lastAt), Asked: sum(pl.asked), Pace: pl.pace, Use: pl.use, LetIn: pl.letIn,
 		Actors: len(in.roll.order), Tables: len(ch.tables)}
 	for _, s := range ch.streams {
 		b.Unsaid += len(s.unsaid)
@@ -205,12 +205,21 @@
 	return b
 }
 
-// waiting is how many lines may still wait in the channel. Messages leave in succession: what went out before another that
-// was acknowledged waits no more, even if its own proxy has fallen silent and never says so.
-func (c *channel) waiting() (lines float64) {
+// waiting is how many lines may still wait in the channel, by what has been acknowledged. Messages to different proxies may
+// overtake each other, by seconds; but what has been on its way for much longer than any that was acknowledged lately waits no
+// more: its proxy has fallen silent, or has left, and never says so.
+func (c *channel) waiting(now micros) (lines float64) {
+	over := func(m posted) bool {
+		lag := max(c.lags[0], c.lags[1])
+		return c.answered && now-m.at > lag+lag/2+2*c.period
+	}
+	c.left = slices.DeleteFunc(c.left, over)
+	for _, m := range c.left {
+		lines += m.lines
+	}
 	for _, s := range c.streams {
 		for _, m := range s.unsaid {
-			if m.reply >= c.passed {
+			if !over(m) {
 				lines += m.lines
 			}
 		}
@@ -218,6 +227,15 @@
 	return lines
 }
 
+// lagged notes how long an acknowledgement took to come; the longest of the last five reports' time counts, and that of the five
+// before.
+func (c *channel) lagged(now, lag micros) {
+	if now-c.lagsAt > 5*c.period {
+		c.lags[0], c.lags[1], c.lagsAt = 0, c.lags[0], now
+	}
+	c.lags[0], c.answered = max(c.lags[0], lag), true
+}
+
 // run empties the inboxes, round after round, until none has a note.
 func (in *Instance) run(now micros) {
 	for busy := true; busy; {
@@ -646,9 +664,13 @@
 	caps               map[control.Table]control.Admit // the tables' own levels
 	streams            map[control.Proxy]*stream
 	mark               control.Mark
-	reply, passed      int // the last with messages, and the last of which a proxy has acknowledged one
-	lastSent           micros
-	urgent             bool // something urgent has not gone out yet
+	lags               [2]micros // how long acknowledgements took to come, at most
+	lagsAt             micros    // since when the first of them stands
+	answered           bool      // something has been acknowledged
+	lastSent, lastAt   micros    // lines of tables or levels; anything
+	urgent             bool      // something urgent has not gone out yet
+	turn               int       // the table whose turn it is
+	left               []posted  // to proxies that have left since: they wait in the channel all the same
 }
 
 // stream is what the channel knows of one proxy.
@@ -661,7 +683,7 @@
 
 type posted struct {
 	mark  control.Mark
-	reply int // which of those with messages it went out in
+	at    micros
 	lines float64
 }
 
@@ -674,13 +696,14 @@
 func (c *channel) take(now micros, n note) {
 	switch n := n.(type) {
 	case control.Joined:
+		c.leave(n.Proxy)
 		c.streams[n.Proxy] = &stream{home: -1}
 	case control.Left:
-		delete(c.streams, n.Proxy)
+		c.leave(n.Proxy)
 	case control.Applied:
 		if s := c.streams[n.Proxy]; s != nil {
 			if i := slices.IndexFunc(s.unsaid, func(m posted) bool { return m.mark == n.Mark }); i >= 0 {
-				c.passed = max(c.passed, s.unsaid[i].reply)
+				c.lagged(now, now-s.unsaid[i].at)
 				s.unsaid = slices.Delete(s.unsaid, 0, i+1)
 			}
 		}
@@ -689,6 +712,14 @@
 	}
 }
 
+// leave forgets a stream, but not what still waits for it in the channel.
+func (c *channel) leave(p control.Proxy) {
+	if s := c.streams[p]; s != nil {
+		c.left = append(c.left, s.unsaid...)
+		delete(c.streams, p)
+	}
+}
+
 // head is what a message costs besides its own lines; the levels go with each.
 func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
 
