What nobody ever acknowledges waits for a minute at most

Seen on reading the true count of what waits: where nothing is ever acknowledged, lines to proxies that have left would be kept for ever, and none who joins be bound once the queue is four fifths full. A minute is what the module keeps of backends that are gone. Test TestNobodyAnswers, which fails without it (tried).

--- a/choice/channel_test.go
+++ b/choice/channel_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// Nobody ever answers: what went out does not wait for ever, and who joins later is bound.
+func TestNobodyAnswers(t *testing.T) {
+	out := &outbox{}
+	c := newChannel(out, 1000, 6, 0, 10*second, second)
+	c.masks = []control.Kinds{7}
+	w := want{homes: map[control.Proxy]control.Table{}, lines: [][]line{nil}, caps: []float64{everything}}
+	for b := range 100 {
+		w.lines[0] = append(w.lines[0], line{control.Backend(rune('A' + b)), 1})
+	}
+	for p := range 20 {
+		c.take(0, control.Joined{Proxy: control.Proxy(p)})
+		w.homes[control.Proxy(p)] = 0
+	}
+	c.send(0, w)
+	c.send(30*second, w)
+	bound := c.bound()
+	if bound == 0 || bound == 20 {
+		t.Fatalf("%d are bound", bound)
+	}
+	for p := range bound { // they leave, and answer no more
+		c.take(31*second, control.Left{Proxy: control.Proxy(p)})
+	}
+	c.send(61*second, w)
+	if len(c.left) > 0 || c.bound() == 0 {
+		t.Errorf("%d messages to those who left are kept, %d are bound", len(c.left), c.bound())
+	}
+}
+
 // Tables whose change has to wait take turns: none waits for ever behind another that changes all the time.
 func TestTablesTakeTurns(t *testing.T) {
 	out := &outbox{}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -207,11 +207,11 @@
 
 // waiting is how many lines may still wait in the channel, by what has been acknowledged. Messages to different proxies may
 // overtake each other, by seconds; but what has been on its way for much longer than any that was acknowledged lately waits no
-// more: its proxy has fallen silent, or has left, and never says so.
+// more: its proxy has fallen silent, or has left, and never says so. Nor does what is a minute old, if nobody ever answers.
 func (c *channel) waiting(now micros) (lines float64) {
 	over := func(m posted) bool {
 		lag := max(c.lags[0], c.lags[1])
-		return c.answered && now-m.at > lag+lag/2+2*c.period
+		return c.answered && now-m.at > lag+lag/2+2*c.period || now-m.at > forgotten
 	}
 	c.left = slices.DeleteFunc(c.left, over)
 	for _, m := range c.left {
