Levels and tables take turns where the channel has no room for both

Its log, n2 with 780 proxies: from 15 s to 35 s 3,900 messages and 7,800 lines each five seconds, that is a level and a mark to every proxy each second and no line of a table at all, while 1,042 to 1,142 reqs a second could be done, 325 were let in and the zone's tables stayed as they were before the shift. At fault: change, which always sent levels before tables; with what waits counted truly they filled the quarter alone.

Now where a table had to wait the tables go first the next time. Test TestLevelsAndTablesTakeTurns, 0 lines in 20 turns without it (tried).

--- a/choice/channel_test.go
+++ b/choice/channel_test.go
@@ -207,3 +207,31 @@
 		}
 	}
 }
+
+// Levels that move with each report to all proxies, and tables that change meanwhile: neither keeps the other from going out.
+func TestLevelsAndTablesTakeTurns(t *testing.T) {
+	c, out, w := channelOf(t, 800)
+	levels, lines := 0, 0
+	for beat := range 20 {
+		w.admits = []control.Admit{{Table: control.AllTables, Kinds: 7, Level: 10 + float64(beat), SecondTry: 1}}
+		for b := range w.lines[0][:20] {
+			w.lines[0][b].weight *= 1.5
+		}
+		out.orders = nil
+		now := micros(300+beat) * second
+		c.left = []posted{{at: now, lines: 0.2 * c.queueCap}} // there is room for one of the two
+		c.send(now, w)
+		for _, order := range out.orders {
+			switch order.(type) {
+			case control.Admit:
+				levels++
+			case control.Line:
+				lines++
+			}
+		}
+		c.answerAll()
+	}
+	if levels < 8 || lines < 8*20 {
+		t.Errorf("%d levels and %d lines went out in 20 turns", levels, lines)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -776,8 +776,8 @@
 }
 
 // change sends the lines and levels that differ by enough: first the tables that lose a line, with most of the
-// queue, and of one that does not fit at least the loss; then levels, then the other tables in turn, while no
-// more than most waits. What does not fit, be it that half the fleet changed at once, waits. What nobody is
+// queue, and of one that does not fit at least the loss; then levels and the other tables, while no more than
+// most waits. What does not fit, be it that half the fleet changed at once, waits for its turn. What nobody is
 // bound to costs nothing and is always up to date. It returns the queue.
 func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
 	waiting, most float64, lossy bool) float64 {
@@ -789,7 +789,7 @@
 		return streams == 0 || waiting+float64(streams)*(n+c.head()) <= 0.9*c.queueCap
 	}
 	heard := func(s *stream) bool { return c.most > 0 && len(s.sent) >= c.most-2 } // all that it may, but for joining
-	for _, losing := range []bool{true, false} {
+	tables := func(losing bool) (held bool) {
 		start := c.turn
 		for i := range w.lines {
 			i = (i + start) % len(w.lines)
@@ -815,6 +815,7 @@
 				maps.DeleteFunc(wanted, func(_ control.Backend, weight float64) bool { return weight > 0 })
 				n, news = float64(lost), false
 			} else if !open || !whole {
+				held = true
 				continue
 			} else if len(streams) > 0 && !losing {
 				c.turn = i + 1
@@ -831,9 +832,9 @@
 				c.out.add(own)
 			}
 		}
-		if !losing {
-			break
-		}
+		return held
+	}
+	levels := func() {
 		for _, a := range w.admits {
 			if waiting < most && fits(len(c.streams), 1) && c.admits[a.Kinds] != a {
 				c.admits[a.Kinds] = a
@@ -844,6 +845,15 @@
 			}
 		}
 	}
+	tables(true)
+	// Levels that move with each report would leave the tables nothing: they take turns as well.
+	if c.held {
+		c.held = tables(false)
+		levels()
+	} else {
+		levels()
+		c.held = tables(false)
+	}
 	return waiting
 }
 
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -669,6 +669,7 @@
 	answered           bool      // something has been acknowledged
 	lastSent, lastAt   micros    // lines of tables or levels; anything
 	urgent             bool      // something urgent has not gone out yet
+	held               bool      // a table had to wait for others, or for levels
 	turn               int       // the table whose turn it is
 	left               []posted  // to proxies that have left since: they wait in the channel all the same
 }
