A table's whole change takes half of the queue at most when it loses a line

Its log: n2, with a third of the proxies, had 46,501 lines waiting at 15.0 s and 35,432 at 20.0 s, five to seven seconds of the channel. At fault: change let a table that loses seven lines go out whole, 57 lines, up to nine tenths of the queue; the drain of 1.75 s later had to wait for room, and then for the queue. Now what need not be lost at once goes with a loss up to half of the queue, and follows as routine otherwise. Test TestOneLossLeavesRoomForTheNext; without it 53,500 of 60,000 lines wait after one drain and the next is not lost (tried).

--- a/choice/channel_test.go
+++ b/choice/channel_test.go
@@ -235,3 +235,24 @@
 		t.Errorf("%d levels and %d lines went out in 20 turns", levels, lines)
 	}
 }
+
+// A drain that changes all other lines as well takes no more than half of the queue: the next drain finds room, and what is before
+// it leaves within the grace.
+func TestOneLossLeavesRoomForTheNext(t *testing.T) {
+	c, out, w := channelOf(t, 500)
+	for drain := range 2 {
+		lines := w.lines[0][3:]
+		w.lines[0] = nil
+		for _, l := range lines {
+			w.lines[0] = append(w.lines[0], line{l.backend, 2 * l.weight})
+		}
+		w.urgent, out.orders = true, nil
+		c.send(micros(200+2*drain)*second, w)
+		if lost := out.losses(); lost != 3 {
+			t.Errorf("drain %d: %d lines are lost of 3", drain, lost)
+		}
+		if waiting := c.waiting(c.lastAt); waiting > 0.5*c.queueCap {
+			t.Errorf("drain %d: %.0f lines wait, of %.0f", drain, waiting, c.queueCap)
+		}
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -785,8 +785,8 @@
 	for _, a := range w.admits {
 		second = a.SecondTry
 	}
-	fits := func(streams int, n float64) bool {
-		return streams == 0 || waiting+float64(streams)*(n+c.head()) <= 0.9*c.queueCap
+	fits := func(streams int, n, part float64) bool {
+		return streams == 0 || waiting+float64(streams)*(n+c.head()) <= part*c.queueCap
 	}
 	heard := func(s *stream) bool { return c.most > 0 && len(s.sent) >= c.most-2 } // all that it may, but for joining
 	tables := func(losing bool) (held bool) {
@@ -811,7 +811,11 @@
 				continue
 			}
 			open := len(streams) == 0 || !losing && waiting < most || losing && lossy && !slices.ContainsFunc(streams, heard)
-			if whole := fits(len(streams), n); open && !whole && losing && lost < len(c.tables[t]) && fits(len(streams), float64(lost)) {
+			part := 0.9
+			if losing && lost < len(c.tables[t]) {
+				part = 0.5 // what need not be lost at once leaves room for the next loss
+			}
+			if whole := fits(len(streams), n, part); open && !whole && part < 0.9 && fits(len(streams), float64(lost), 0.9) {
 				maps.DeleteFunc(wanted, func(_ control.Backend, weight float64) bool { return weight > 0 })
 				n, news = float64(lost), false
 			} else if !open || !whole {
@@ -836,7 +840,7 @@
 	}
 	levels := func() {
 		for _, a := range w.admits {
-			if waiting < most && fits(len(c.streams), 1) && c.admits[a.Kinds] != a {
+			if waiting < most && fits(len(c.streams), 1, 0.9) && c.admits[a.Kinds] != a {
 				c.admits[a.Kinds] = a
 				c.out.add(a)
 				for _, streams := range users {
