--- a/choice/choice.go
+++ b/choice/choice.go
@@ -721,8 +721,8 @@
 
 // send brings the proxies nearer to how they should stand, as far as queue and messages allow. Lines count as
 // queued until acknowledged, whatever the stated pace, so that a channel that runs slow holds back by itself;
-// routine leaves most of each limit to losses, and the last messages to proxies that join. What these fill the
-// queue with holds no loss back: a loss is owed within the grace, however full the queue is.
+// routine leaves most of each limit to losses, and the last messages to proxies that join. What these fill
+// the queue with holds no loss back: a loss is owed within the grace, however full the queue is.
 func (c *channel) send(now micros, w want) {
 	c.lastAt = now
 	waiting, messages, users := c.waiting(now), 0, map[control.Table][]*stream{} // by the first of their tables
@@ -775,10 +775,10 @@
 	}
 }
 
-// change sends the lines and levels that differ by enough: first the tables that lose a line, with most of the
-// queue, and of one that does not fit at least the loss; then levels and the other tables, while no more than
-// most waits. What does not fit, be it that half the fleet changed at once, waits for its turn. What nobody is
-// bound to costs nothing and is always up to date. It returns the queue.
+// change sends the lines and levels that differ by enough: first the tables that lose a line, with most of
+// the queue, and of one that does not fit at least the loss; then levels and the other tables, while no more
+// than most waits. What does not fit, be it that half the fleet changed at once, waits for its turn. What
+// nobody is bound to costs nothing and is always up to date. It returns the queue.
 func (c *channel) change(now micros, w want, users map[control.Table][]*stream,
 	waiting, most float64, lossy bool) float64 {
 	second := 1
@@ -788,7 +788,7 @@
 	fits := func(streams int, n, part float64) bool {
 		return streams == 0 || waiting+float64(streams)*(n+c.head()) <= part*c.queueCap
 	}
-	heard := func(s *stream) bool { return c.most > 0 && len(s.sent) >= c.most-2 } // all that it may, but for joining
+	sated := func(s *stream) bool { return c.most > 0 && len(s.sent) >= c.most-2 } // two are left for joining
 	tables := func(losing bool) (held bool) {
 		start := c.turn
 		for i := range w.lines {
@@ -810,12 +810,16 @@
 			if losing != (lost > 0) || n == 0 {
 				continue
 			}
-			open := len(streams) == 0 || !losing && waiting < most || losing && lossy && !slices.ContainsFunc(streams, heard)
-			part := 0.9
+			open, part := waiting < most, 0.9
+			if losing {
+				open = lossy && !slices.ContainsFunc(streams, sated)
+			}
 			if losing && lost < len(c.tables[t]) {
 				part = 0.5 // what need not be lost at once leaves room for the next loss
 			}
-			if whole := fits(len(streams), n, part); open && !whole && part < 0.9 && fits(len(streams), float64(lost), 0.9) {
+			open = open || len(streams) == 0
+			whole, alone := fits(len(streams), n, part), part < 0.9 && fits(len(streams), float64(lost), 0.9)
+			if open && !whole && alone {
 				maps.DeleteFunc(wanted, func(_ control.Backend, weight float64) bool { return weight > 0 })
 				n, news = float64(lost), false
 			} else if !open || !whole {
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -37,7 +37,7 @@
 		}
 		t.Cleanup(func() { _ = c.Close() })
 	}
-	t.Skip("the system lets connections come up that nobody accepts")
+	t.Fatal("the system lets connections come up that nobody accepts")
 	return ""
 }
 
