Losses before joinings: tests for the order and the holds; a condition that could not be met is out

The condition that an empty queue takes any table could not be met once no table is planned larger than the queue: out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -751,19 +751,16 @@
 // brought along, which takes three times the lines. What tables lose else follows. It tells whether some had
 // to wait.
 func (c *channel) sendOwed(now micros, open bool) (pending bool) {
-	losing, joins, whole := c.losing(now), c.joins(), wholePart
-	if len(joins) > 0 {
-		whole = 0 // all the room is theirs but for what is owed
-	}
+	losing := c.losing(now)
 	for _, r := range losing {
-		pending = r.owed > 0 && !c.sendLoss(now, r, open, whole) || pending
+		pending = r.owed > 0 && !c.sendLoss(now, r, open) || pending
 	}
-	for _, s := range joins {
+	for _, s := range c.joins() {
 		pending = !c.bindPlanned(s) || pending
 	}
 	for _, r := range losing {
 		if r.owed == 0 {
-			c.sendLoss(now, r, open, whole)
+			c.sendLoss(now, r, open)
 		}
 	}
 	return pending
@@ -771,7 +768,7 @@
 
 // sendLoss sends what the tables of a replica lose: the whole change where that takes little, else as many
 // lines as fit. It tells whether all that is owed has gone out.
-func (c *channel) sendLoss(now micros, r *replica, open bool, whole float64) (done bool) {
+func (c *channel) sendLoss(now micros, r *replica, open bool) (done bool) {
 	if !open || c.saves(now, r) {
 		return false
 	} else if c.anySated(r) {
@@ -782,7 +779,7 @@
 	for set := range r.tables {
 		change := r.tables[set].change
 		loss := slices.Concat(change.owed, change.lost)
-		part := whole // what need not be lost at once leaves room for the next loss
+		part := wholePart // what need not be lost at once leaves room for the next loss
 		if change.replaces {
 			part = owedPart
 		}
@@ -836,10 +833,9 @@
 	}
 }
 
-// binds tells whether there is room to bind a proxy to a replica's tables; an empty queue takes any.
+// binds tells whether there is room to bind a proxy to a replica's tables.
 func (c *channel) binds(r *replica, part float64) bool {
-	cost := c.head() + c.bindCost(r)
-	return c.queued+cost < part*c.queueCap || c.queued == 0 && cost <= c.queueCap
+	return c.queued+c.head()+c.bindCost(r) < part*c.queueCap
 }
 
 // bindPlanned binds a proxy to the tables that it is to have, if there is room. One that may get no message
--- a/choice/withdrawal_test.go
+++ b/choice/withdrawal_test.go
@@ -324,3 +324,56 @@
 		t.Error("the one with messages left is not bound, or the other is")
 	}
 }
+
+// Messages are few, and one has just gone out: a loss waits for a quarter of the grace at most, however far apart messages should be.
+func TestLossIsNotHeldForLong(t *testing.T) {
+	c, _, w := channelOf(t, 10)
+	c.most = 2 // in ten seconds
+	now := 200 * second
+	c.lastSent = now
+	w.withdraw(0, 1, 1)
+	c.sendPlan(now+testGrace/4, w)
+	if n := len(c.replicas[0].tables[0].lines); n != 99 {
+		t.Errorf("after a quarter of the grace the table has %d lines", n)
+	}
+}
+
+// A proxy may get one more message: the loss that would take it waits for those that may follow, and goes while there is time.
+func TestLastMessageTakesAllLosses(t *testing.T) {
+	c, out, w := channelOf(t, 10)
+	now := 200 * second
+	for _, s := range c.streams {
+		s.sent = slices.Repeat([]micros{now - second}, c.most-1)
+	}
+	for range 3 {
+		w.withdraw(0, 1, 1)
+		c.sendPlan(now, w)
+		if out.losses() > 0 {
+			t.Fatal("the first loss took the last message")
+		}
+		now += second
+	}
+	c.sendPlan(now+testGrace/2, w)
+	if n := out.losses(); n != 3 {
+		t.Errorf("%d losses went out with the last message, of 3", n)
+	}
+}
+
+// Many proxies join at once and wait for room: what others are owed goes first, it takes less of it.
+func TestDrainGoesBeforeJoinings(t *testing.T) {
+	c, out, w := channelOf(t, 500)
+	now := 200 * second
+	for p := range control.Proxy(300) {
+		c.take(now, control.Joined{Proxy: 1000 + p})
+		w.homes[1000+p] = 0
+	}
+	c.left = []posted{{at: now, lines: 0.75 * c.queueCap}}
+	w.withdraw(0, 2, 1)
+	c.sendPlan(now, w)
+	if n := out.losses(); n != 2 {
+		t.Errorf("%d losses went out of 2", n)
+	}
+	if bound := c.bound() - 500; bound > 0 {
+		t.Errorf("%d were bound beside them, though the queue was full", bound)
+	}
+}
