--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -185,6 +185,25 @@
 	}
 }
 
+// The last nodes that a kind may go to drain: its table is empty, and no document offers them any more.
+func TestLastNodesOfAKindDrain(t *testing.T) {
+	h := newHost(t, func(s *Settings) { s.Up.Kinds[1].OwnZone = true })
+	h.fleet()
+	if open := h.open("g1", "save"); !slices.Contains(open, "a1:1") || slices.Contains(open, "b1:1") {
+		t.Fatalf("g1 may send to %v", open)
+	}
+	e := append(entries("a", "a1:1", "a2:1"), entries("b", "b1:1", "b2:1")...)
+	e[0].Status, e[1].Status = control.Draining, control.Draining
+	h.list(e...)
+	h.pass(second, "g1", "g2")
+	if open := h.open("g1", "save"); len(open) > 0 {
+		t.Errorf("g1 may send what keeps to its zone to %v", open)
+	}
+	if open := h.open("g1", "view"); len(open) == 0 || slices.Contains(open, "a1:1") {
+		t.Errorf("g1 may send the rest to %v", open)
+	}
+}
+
 // A gateway that reports but acknowledges nothing is put out, later each time, and the other one is served meanwhile.
 func TestGatewayThatNeverAcknowledges(t *testing.T) {
 	h := newHost(t, nil)
