--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -99,16 +99,6 @@
 	}
 }
 
-// stored writes a course to a folder.
-func stored(t *testing.T, dir string, limits Limits, seed uint64, epoch string, steps int) Stats {
-	t.Helper()
-	w := NewWriter(dir, limits)
-	course(seed, epoch, steps, func(r *Record) { w.Put(r) })
-	w.Put(&Record{End: &End{}})
-	w.Close()
-	return w.Stats()
-}
-
 func read(t *testing.T, path string) ([]*Record, *Reader) {
 	t.Helper()
 	r, err := Open(path)
--- a/choice/channel.go
+++ b/choice/channel.go
@@ -36,7 +36,6 @@
 	turn               control.Table
 	left               []posted                   // to proxies that have left since: they wait in the channel all the same
 	retryAt            micros                     // when it will be tried again; 0: it need not
-	joinings           int                        // streams so far
 	sentBefore         map[control.Proxy][]micros // to streams that stand, by an instance that has failed
 }
 
--- a/cmd/porthub/node_test.go
+++ b/cmd/porthub/node_test.go
@@ -432,7 +432,7 @@
 	}
 	none := exec.Command(bin, "node")
 	none.Env = []string{}
-	if text, _ := none.CombinedOutput(); none.ProcessState.ExitCode() != exitUsage || !strings.Contains(fmt.Sprintf("%s", text), "NODE_CONFIG") {
+	if text, _ := none.CombinedOutput(); none.ProcessState.ExitCode() != exitUsage || !strings.Contains(string(text), "NODE_CONFIG") {
 		t.Errorf("without variables: %d, %s", none.ProcessState.ExitCode(), text)
 	}
 }
--- a/config/config.go
+++ b/config/config.go
@@ -256,7 +256,7 @@
 	For   Duration `json:"for"`   // afterwards its table holds again as it is
 }
 
-// Levels are the levels of service as package service has them, and the fallback.
+// ServiceLevels are the levels of service as package service has them, and the fallback.
 func (c Config) ServiceLevels() (service.Settings, service.Fallback) {
 	s := service.Settings{Period: control.Micros(c.Reports.Period)}
 	for _, z := range c.Zones {
--- a/control/control.go
+++ b/control/control.go
@@ -212,7 +212,7 @@
 		Mark  Mark
 		Took  Micros
 	}
-	// Heat, Given and Held belong to sites with slices.
+	// Heat sums the reqs of a kind that came to a slice. Like Given and Held it belongs to sites with slices.
 	Heat struct {
 		Table   Table
 		Kind    ReqKind
@@ -220,10 +220,12 @@
 		Errored int
 		Period  Micros
 	}
+	// Given says that a slice is in this instance's charge, or no more.
 	Given struct {
 		On    bool
 		Table Table
 	}
+	// Held is a line of a slice's table as the store has it.
 	Held struct {
 		Backend Backend
 		Table   Table
--- a/standin/light.go
+++ b/standin/light.go
@@ -414,7 +414,7 @@
 			nextReport = time.Now().Add(interval)
 		}
 		// It sends all the time: counted in one go, a second's reqs would come to a node at one moment.
-		for until := min(next.Sub(time.Now()), max(time.Until(nextReport), 10*time.Millisecond)); until > 0 && ctx.Err() == nil; {
+		for until := min(time.Until(next), max(time.Until(nextReport), 10*time.Millisecond)); until > 0 && ctx.Err() == nil; {
 			step := min(until, g.Period/4)
 			until -= step
 			select {
