--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -120,7 +120,7 @@
 )
 
 // give hands the core inputs that must not be lost.
-func (d *Daemon) give(inputs ...coordinator.Input) { d.inbox.Give(event{inputs: inputs}) }
+func (d *Daemon) give(inputs ...coordinator.Input) { d.inbox.PutUrgent(event{inputs: inputs}) }
 
 // ErrEnvironment is a failure of the machine around the daemon: a port that is taken, a folder that can't be made.
 var ErrEnvironment = errors.New("environment")
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -61,7 +61,7 @@
 		return
 	}
 	n := int(s.refused.Swap(0))
-	s.d.inbox.Offer(event{inputs: []coordinator.Input{coordinator.Refused{From: from, Why: why, Count: n}}})
+	s.d.inbox.TryPut(event{inputs: []coordinator.Input{coordinator.Refused{From: from, Why: why, Count: n}}})
 }
 
 // peer is one connection. Only its event loop touches it, but for out.
@@ -147,7 +147,7 @@
 	}
 	if p.joined {
 		s.forget(p.gateway, p)
-		s.d.inbox.Offer(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
+		s.d.inbox.TryPut(event{inputs: []coordinator.Input{coordinator.Leave{Gateway: p.gateway, Conn: p.id}}})
 	}
 	return gnet.None
 }
@@ -307,15 +307,15 @@
 		}
 		s.hand(p, node, &report, func([]byte) { s.answer(p, http.StatusOK, jsonType, text) }, fail)
 	case req.Method == http.MethodGet && req.URL.Path == "/tables":
-		if !s.d.inbox.Offer(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.inbox.TryPut(event{query: s.d.standing, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	case req.Method == http.MethodGet && req.URL.Path == "/overview":
-		if !s.d.inbox.Press(event{query: s.d.look, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.inbox.TryPutUrgent(event{query: s.d.look, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	case req.Method == http.MethodGet && req.URL.Path == "/intake":
-		if !s.d.inbox.Press(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
+		if !s.d.inbox.TryPutUrgent(event{query: s.d.heard, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
 		}
 	case strings.HasPrefix(req.URL.Path, "/tables/"), req.URL.Path == "/nodes", req.URL.Path == "/levels", strings.HasPrefix(req.URL.Path, "/levels/"), strings.HasPrefix(req.URL.Path, "/nodes/"):
@@ -324,9 +324,9 @@
 			fail(code, err.Error())
 			return
 		}
-		put := s.d.inbox.Offer
+		put := s.d.inbox.TryPut
 		if req.Method == http.MethodPost { // an operator's word does not wait behind reports
-			put = s.d.inbox.Press
+			put = s.d.inbox.TryPutUrgent
 		}
 		if !put(event{query: operate, reply: func(text []byte) { s.answer(p, http.StatusOK, jsonType, text) }}) {
 			fail(http.StatusServiceUnavailable, "busy")
@@ -385,7 +385,7 @@
 		in.Conn = link
 		inputs = append(inputs, *in)
 	}
-	if !s.d.inbox.Offer(event{inputs: inputs, reply: done}) {
+	if !s.d.inbox.TryPut(event{inputs: inputs, reply: done}) {
 		if main == p && !p.joined {
 			s.forget(name, p)
 		}
--- a/inbox/inbox.go
+++ b/inbox/inbox.go
@@ -1,4 +1,4 @@
-// Package inbox is what waits for a goroutine that owns some state: two bounded lock-free lanes, one of them urgent.
+// Package inbox holds the events that wait for a goroutine that owns some state, in two bounded lock-free queues, one of them urgent.
 package inbox
 
 import (
@@ -9,22 +9,22 @@
 	"github.com/puzpuzpuz/xsync/v4"
 )
 
-// Inbox is what waits for the owner: two bounded lock-free queues that all event loops, sources and timers put into and one
-// loop empties. What the node list, probes and operators say goes in by a lane of its own and is taken first: a drain
-// must not wait behind thousands of reports, nor find the room taken by them.
+// Inbox has two bounded lock-free queues: many goroutines put events in, one owner takes them out. The urgent queue, for the
+// endpoint list, probes and operators, is emptied first: a drain must not wait behind thousands of reports, nor find the room
+// taken by them.
 type Inbox[T any] struct {
 	urgent, plain *xsync.MPMCQueue[T]
-	waiting       atomic.Int64 // in the plain lane
-	asleep        atomic.Bool  // the loop is about to wait, or waits, for the bell
+	waiting       atomic.Int64 // events in the plain queue
+	asleep        atomic.Bool  // the owner is about to wait, or waits, for the bell
 	bell          chan struct{}
 	closed        atomic.Bool
 	stamp         func(T) T // nil: events go in as they are
 }
 
-// BatchMost is what the owner takes at a time.
+// BatchMost is how many events the owner takes at a time.
 const BatchMost = 4096
 
-// New makes an inbox whose lanes have so many places. Stamp, if there is one, is asked for each event as it goes in.
+// New makes an inbox whose queues have so many places. Each event is passed through stamp, unless that is nil, as it goes in.
 func New[T any](urgent, plain int, stamp func(T) T) *Inbox[T] {
 	return &Inbox[T]{stamp: stamp, urgent: xsync.NewMPMCQueue[T](urgent), plain: xsync.NewMPMCQueue[T](plain), bell: make(chan struct{}, 1)}
 }
@@ -36,8 +36,8 @@
 	return e
 }
 
-// Offer puts an event in if there is room.
-func (b *Inbox[T]) Offer(e T) bool {
+// TryPut puts an event into the plain queue and tells whether there was room.
+func (b *Inbox[T]) TryPut(e T) bool {
 	if !b.plain.TryEnqueue(b.stamped(e)) {
 		return false
 	}
@@ -46,8 +46,8 @@
 	return true
 }
 
-// Press puts an event into the urgent lane if there is room.
-func (b *Inbox[T]) Press(e T) bool {
+// TryPutUrgent puts an event into the urgent queue and tells whether there was room.
+func (b *Inbox[T]) TryPutUrgent(e T) bool {
 	if !b.urgent.TryEnqueue(b.stamped(e)) {
 		return false
 	}
@@ -55,10 +55,10 @@
 	return true
 }
 
-// Give puts an event into the urgent lane and waits while it is full; for goroutines that may wait. Once the inbox is closed
-// nobody takes them any more.
-func (b *Inbox[T]) Give(e T) {
-	for !b.Press(e) && !b.closed.Load() {
+// PutUrgent puts an event into the urgent queue and waits while that is full. Once the inbox is closed it returns at once, and the
+// event is lost.
+func (b *Inbox[T]) PutUrgent(e T) {
+	for !b.TryPutUrgent(e) && !b.closed.Load() {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -71,7 +71,7 @@
 	}
 }
 
-// Len is how many events wait in the plain lane.
+// Len returns how many events wait in the plain queue.
 func (b *Inbox[T]) Len() int { return int(max(0, b.waiting.Load())) }
 
 func (b *Inbox[T]) take() (T, bool) {
@@ -118,5 +118,5 @@
 	return events
 }
 
-// Close lets nobody wait any more.
+// Close ends the waiting of all that put events in.
 func (b *Inbox[T]) Close() { b.closed.Store(true) }
--- a/inbox/inbox_test.go
+++ b/inbox/inbox_test.go
@@ -20,9 +20,9 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			put := b.Offer
+			put := b.TryPut
 			if p == 0 {
-				put = b.Press
+				put = b.TryPutUrgent
 			}
 			for i := range each {
 				for !put([2]int{p, i}) {
@@ -59,21 +59,21 @@
 func TestInboxLanes(t *testing.T) {
 	b := New[[2]int](plainLength, plainLength, nil)
 	n := 0
-	for b.Offer([2]int{0, n}) {
+	for b.TryPut([2]int{0, n}) {
 		n++
 	}
 	if n != plainLength || b.Len() != n {
 		t.Errorf("%d taken in, %d said", n, b.Len())
 	}
-	b.Give([2]int{1, 0})
+	b.PutUrgent([2]int{1, 0})
 	events := b.Next(context.Background(), nil, func() <-chan time.Time { return nil })
 	if len(events) != BatchMost || events[0] != [2]int{1, 0} || events[1] != [2]int{0, 0} {
 		t.Errorf("%d events, first %v, %v", len(events), events[0], events[1])
 	}
-	for b.Press([2]int{}) {
+	for b.TryPutUrgent([2]int{}) {
 	}
 	b.Close()
-	b.Give([2]int{}) // nobody takes it: it returns
+	b.PutUrgent([2]int{}) // nobody takes it: it returns
 }
 
 func BenchmarkInbox(b *testing.B) {
@@ -90,7 +90,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			for !box.Offer([2]int{}) {
+			for !box.TryPut([2]int{}) {
 				runtime.Gosched()
 			}
 		}
