--- a/choice/channel.go
+++ b/choice/channel.go
@@ -25,7 +25,7 @@
 	replicas           []*replica      // by the number of their first table
 	admits             map[control.Kinds]control.Admit
 	streams            map[control.Proxy]*stream
-	plan               want // the last one
+	plan               targetState // the last one
 	mark               control.Mark
 	lags               [2]micros // how long acknowledgements took to come, at most
 	lagsAt             micros    // since when the first of them stands
@@ -34,7 +34,7 @@
 	queued             float64   // lines that wait, while a turn goes on
 	held               bool      // a table had to wait for others, or for levels
 	turn               control.Table
-	left               []posted                   // to proxies that have left since: they wait in the channel all the same
+	left               []pendingMessage           // to proxies that have left since: they wait in the channel all the same
 	retryAt            micros                     // when it will be tried again; 0: it need not
 	sentBefore         map[control.Proxy][]micros // to streams that stand, by an instance that has failed
 }
@@ -63,15 +63,15 @@
 
 // stream is what the channel knows of one proxy.
 type stream struct {
-	proxy   control.Proxy
-	joined  micros
-	replica *replica // nil: not bound, the proxy goes by what it brought along
-	sent    []micros // times of the messages in the span
-	unsaid  []posted // messages that it has not acknowledged
-	cost    float64  // lines of this turn
+	proxy          control.Proxy
+	joined         micros
+	replica        *replica         // nil: not bound, the proxy goes by what it brought along
+	sent           []micros         // times of the messages in the span
+	unacknowledged []pendingMessage // messages that it has not acknowledged
+	cost           float64          // lines of this turn
 }
 
-type posted struct {
+type pendingMessage struct {
 	mark  control.Mark
 	at    micros
 	lines float64
@@ -92,12 +92,12 @@
 		c.leave(n.Proxy)
 	case control.Applied:
 		if s := c.streams[n.Proxy]; s != nil {
-			if i := slices.IndexFunc(s.unsaid, func(m posted) bool { return m.mark == n.Mark }); i >= 0 {
-				c.lagged(now, now-s.unsaid[i].at)
-				s.unsaid = slices.Delete(s.unsaid, 0, i+1)
+			if i := slices.IndexFunc(s.unacknowledged, func(m pendingMessage) bool { return m.mark == n.Mark }); i >= 0 {
+				c.lagged(now, now-s.unacknowledged[i].at)
+				s.unacknowledged = slices.Delete(s.unacknowledged, 0, i+1)
 			}
 		}
-	case want:
+	case targetState:
 		c.plan = n
 		c.send(now)
 	case retry:
@@ -114,7 +114,7 @@
 	c.left, c.sentBefore = slices.Clone(failed.left), map[control.Proxy][]micros{}
 	for _, p := range slices.Sorted(maps.Keys(failed.streams)) {
 		s := failed.streams[p]
-		c.left, c.sentBefore[p] = append(c.left, s.unsaid...), s.sent
+		c.left, c.sentBefore[p] = append(c.left, s.unacknowledged...), s.sent
 	}
 	c.lags, c.lagsAt, c.answered = failed.lags, failed.lagsAt, failed.answered
 }
@@ -122,7 +122,7 @@
 // leave forgets a stream, but not what still waits for it in the channel.
 func (c *channel) leave(p control.Proxy) {
 	if s := c.streams[p]; s != nil {
-		c.left = append(c.left, s.unsaid...)
+		c.left = append(c.left, s.unacknowledged...)
 		c.unbind(s)
 		delete(c.streams, p)
 	}
@@ -139,7 +139,7 @@
 func (c *channel) bind(s *stream, r *replica) {
 	cost := c.bindCost(r)
 	if s.cost == 0 {
-		c.queued += c.head()
+		c.queued += c.messageOverhead()
 	}
 	s.cost, c.queued = s.cost+cost, c.queued+cost
 	c.unbind(s)
@@ -150,8 +150,8 @@
 	}
 }
 
-// head is what a message costs besides its own lines; the levels go with each.
-func (c *channel) head() float64 { return c.envelope + float64(len(c.admits)) + 1 }
+// messageOverhead is what a message costs besides its own lines; the levels go with each.
+func (c *channel) messageOverhead() float64 { return c.envelope + float64(len(c.admits)) + 1 }
 
 // bindCost is what it costs to bind a proxy to a replica's tables.
 func (c *channel) bindCost(r *replica) (cost float64) {
@@ -258,7 +258,7 @@
 func (c *channel) charge(now micros, streams []*stream, lines float64) {
 	for _, s := range streams {
 		if s.cost == 0 {
-			c.queued += c.head()
+			c.queued += c.messageOverhead()
 		}
 		s.cost, c.queued, c.lastSent = s.cost+lines, c.queued+lines, now
 	}
@@ -272,7 +272,7 @@
 	room := part*c.queueCap - c.queued
 	for _, s := range streams {
 		if s.cost == 0 {
-			room -= c.head()
+			room -= c.messageOverhead()
 		}
 	}
 	return int(max(0, room/float64(len(streams))))
@@ -299,10 +299,10 @@
 			c.mark, marked = (c.mark+1)%65536, true
 			c.out.add(control.Marked{Mark: c.mark})
 		}
-		if len(s.unsaid) >= unsaidMost {
-			s.unsaid = slices.Delete(s.unsaid, 0, 1)
+		if len(s.unacknowledged) >= unacknowledgedMost {
+			s.unacknowledged = slices.Delete(s.unacknowledged, 0, 1)
 		}
-		s.unsaid = append(s.unsaid, posted{c.mark, now, s.cost + c.head()})
+		s.unacknowledged = append(s.unacknowledged, pendingMessage{c.mark, now, s.cost + c.messageOverhead()})
 		s.sent, s.cost = append(s.sent, now), 0
 	}
 	groups := map[groupID]bool{}
@@ -311,7 +311,7 @@
 			groups[r.group] = true
 		}
 	}
-	c.tellHeld(held{groups})
+	c.tellHeld(heldGroups{groups})
 }
 
 // losing are the replicas of which a table loses a line, those first that have owed that for longest.
@@ -339,7 +339,7 @@
 
 // anySated tells whether one of a replica's proxies may get no more messages now.
 func (c *channel) anySated(r *replica) bool {
-	return slices.ContainsFunc(r.streams, func(s *stream) bool { return c.sated(s, r.owed > 0) })
+	return slices.ContainsFunc(r.streams, func(s *stream) bool { return c.messagesUsedUp(s, r.owed > 0) })
 }
 
 // joins are the streams that have joined and are not bound yet.
@@ -388,7 +388,7 @@
 // overtake each other, by seconds; but what has been on its way for much longer than any that was acknowledged lately waits no
 // more: its proxy has fallen silent, or has left, and never says so. Nor does what is a minute old, if nobody ever answers.
 func (c *channel) waiting(now micros) (lines float64) {
-	over := func(m posted) bool {
+	over := func(m pendingMessage) bool {
 		return c.answered && now-m.at > c.lag()+c.lag()/2+2*c.period || now-m.at > forgotten
 	}
 	c.left = slices.DeleteFunc(c.left, over)
@@ -396,7 +396,7 @@
 		lines += m.lines
 	}
 	for _, s := range c.streams {
-		for _, m := range s.unsaid {
+		for _, m := range s.unacknowledged {
 			if !over(m) {
 				lines += m.lines
 			}
--- a/choice/channel_test.go
+++ b/choice/channel_test.go
@@ -10,8 +10,8 @@
 const testGrace = 11 * second
 
 // planOf plans so many groups, each of so many endpoints of the same weight.
-func planOf(groups, endpoints int) want {
-	w := want{tables: map[groupID][]tablePlan{}, homes: map[control.Proxy]groupID{}, ready: map[control.Backend]bool{}}
+func planOf(groups, endpoints int) targetState {
+	w := targetState{tables: map[groupID][]tablePlan{}, homes: map[control.Proxy]groupID{}, ready: map[control.Backend]bool{}}
 	for b := range endpoints {
 		w.ready[control.Backend(rune('A'+b))] = true
 	}
@@ -25,10 +25,10 @@
 }
 
 // lines are those of a group's only table.
-func (w want) lines(g groupID) []line { return w.tables[g][0].lines }
+func (w targetState) lines(g groupID) []line { return w.tables[g][0].lines }
 
 // withdraw takes the first endpoints out of a group's table: they drain. The others get another weight.
-func (w want) withdraw(g groupID, endpoints int, weight float64) {
+func (w targetState) withdraw(g groupID, endpoints int, weight float64) {
 	for _, l := range w.lines(g)[:endpoints] {
 		delete(w.ready, l.backend)
 	}
@@ -39,10 +39,10 @@
 	w.tables[g] = []tablePlan{{lines: rest, guard: everything}}
 }
 
-func (c *channel) sendPlan(now micros, w want) { c.take(now, w) }
+func (c *channel) sendPlan(now micros, w targetState) { c.take(now, w) }
 
 // channelOf is a channel with so many proxies bound to the table of a hundred endpoints, all acknowledged.
-func channelOf(t *testing.T, proxies int) (*channel, *outbox, want) {
+func channelOf(t *testing.T, proxies int) (*channel, *outbox, targetState) {
 	out := &outbox{}
 	c := newChannel(out, 60000, 6, 20, 10*second, second, testGrace)
 	c.masks = []control.Kinds{7}
@@ -73,8 +73,8 @@
 
 func (c *channel) answerAll() {
 	for p, s := range c.streams {
-		for len(s.unsaid) > 0 {
-			c.take(0, control.Applied{Proxy: p, Mark: s.unsaid[len(s.unsaid)-1].mark})
+		for len(s.unacknowledged) > 0 {
+			c.take(0, control.Applied{Proxy: p, Mark: s.unacknowledged[len(s.unacknowledged)-1].mark})
 		}
 	}
 }
@@ -93,7 +93,7 @@
 func TestLossGoesOutThroughAFullQueue(t *testing.T) {
 	c, out, w := channelOf(t, 500)
 	now := 200 * second
-	c.left = []posted{{at: now, lines: 0.8 * c.queueCap}} // more than routine, and more than joins, would wait for
+	c.left = []pendingMessage{{at: now, lines: 0.8 * c.queueCap}} // more than routine, and more than joins, would wait for
 	w.urgent = true
 	w.withdraw(0, 3, 2)
 	c.sendPlan(now, w)
@@ -156,7 +156,7 @@
 	}
 	now += 4 * second // the queue is that long: all that are there answer
 	for p, s := range c.streams {
-		c.take(now, control.Applied{Proxy: p, Mark: s.unsaid[len(s.unsaid)-1].mark})
+		c.take(now, control.Applied{Proxy: p, Mark: s.unacknowledged[len(s.unacknowledged)-1].mark})
 	}
 	if after := c.waiting(now); after != gone || gone != 0.8*before {
 		t.Errorf("%.0f lines wait when all that are there have acknowledged, %.0f went to those who have left", after, gone)
@@ -240,7 +240,7 @@
 		}
 		out.orders = nil
 		now := micros(300+beat) * second
-		c.left = []posted{{at: now, lines: 0.2 * c.queueCap}} // there is room for one of the two
+		c.left = []pendingMessage{{at: now, lines: 0.2 * c.queueCap}} // there is room for one of the two
 		c.sendPlan(now, w)
 		for _, order := range out.orders {
 			switch order.(type) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,9 @@
 // Package choice holds every decision of porthub, all of them in this file. Its interface is package control
 // (control/control.go). A host calls New with the start settings, then Take with each batch of events at the
 // batch's time, and carries out the orders that Take returns. An Instance shares nothing and reads no clock
-// but that argument. Its parts talk only by notes in inboxes (parts.go has their state and the loop): roll
-// follows the list, a backend actor stands for each backend, book keeps the proxies, planner decides tables,
-// prices and levels, channel sends what has changed.
+// but that argument. Its parts talk only by notes in inboxes (parts.go and channel.go have their state and the
+// loop): endpointList follows the list, a backend actor stands for each endpoint, proxyRegistry keeps the
+// proxies and their usage, planner decides tables, prices and levels, channel sends what has changed.
 package choice
 
 import (
@@ -38,7 +38,7 @@
 }
 
 // count takes a round's reqs into what is known of a proxy's usage.
-func (f *flow) count(now micros, b beat) {
+func (f *proxyUsage) count(now micros, b beat) {
 	for i := range f.usage {
 		if !f.joined {
 			f.usage[i] *= 0.97 // forgotten if it stays away
@@ -51,7 +51,7 @@
 }
 
 // again asks for the list after a failure, each time later, and not in step with other coordinators.
-func (r *roll) again() {
+func (r *endpointList) again() {
 	r.fails = min(r.fails+1, 4)
 	after := float64(second) * float64(r.fails) * (0.25 + 0.5*r.chance())
 	r.out.add(control.Sleep{After: micros(after), Token: listToken})
@@ -60,7 +60,7 @@
 func (b *backend) listed(e control.Entry) {
 	if e.Launched > b.entry.Launched {
 		// A new process: what was held against the old one, or learned while it failed, is void.
-		b.limit, b.slow, b.backAt, b.seats = 0, 0, 0, make([]seat, len(b.zones))
+		b.limit, b.slow, b.backAt, b.byZone = 0, 0, 0, make([]zoneHealth, len(b.zones))
 	}
 	// Where gone does not bind, a list that drops what it never called draining may be wrong, and half the
 	// fleet with it: such a backend keeps its lines as long as it answers.
@@ -71,12 +71,12 @@
 
 // judge closes a round and tells whether the backend has become sick.
 func (b *backend) judge(now micros, end roundEnd) bool {
-	var all seat
+	var all zoneHealth
 
 	newest := 0.0 // done reqs a second
 	b.served = 0
-	for z := range b.seats {
-		s := &b.seats[z]
+	for z := range b.byZone {
+		s := &b.byZone[z]
 		all.tries, all.errored, all.answer = all.tries+s.tries, all.errored+s.errored, all.answer+s.answer
 		if s.tries > 0 || now-s.at > end.silent {
 			t, way := since(now, s.at, end.span)
@@ -86,7 +86,7 @@
 			s.newest, end.expect[z] = s.served, 0
 		}
 		b.served, newest = b.served+s.served, newest+s.newest
-		all.sick = b.judgeSeat(now, z, s, end.expect[z], end.errored) || all.sick
+		all.sick = b.judgeZone(now, z, s, end.expect[z], end.errored) || all.sick
 		s.tries, s.errored, s.answer = 0, 0, 0
 	}
 	if done := all.tries - all.errored; done > 0 {
@@ -123,7 +123,7 @@
 // nor a false report of being full drag the levels down; and the limit grows with each report that is not
 // slow and ends above its speed, so that neither a passing slowness nor a cold start leaves a lasting low
 // capacity.
-func (b *backend) capacity(all seat, rounds float64, busy bool) {
+func (b *backend) capacity(all zoneHealth, rounds float64, busy bool) {
 	late := all.answer > 0.6*(all.tries-all.errored)*float64(b.target)
 	if all.tries >= 3 && busy && (all.errored > 0.3*all.tries || late) {
 		if b.slow++; b.slow >= 3 && b.limit == 0 {
@@ -139,10 +139,10 @@
 	}
 }
 
-// judgeSeat finds a backend that answers a zone's proxies nothing at all, by errors or by silence where its
+// judgeZone finds a backend that answers a zone's proxies nothing at all, by errors or by silence where its
 // lines should have brought tries. One that is merely full answers some and stays: without it the others are
 // pushed over. It is tried again later and later; where probes are allowed, once one went well.
-func (b *backend) judgeSeat(now micros, z int, s *seat, expect, fleet float64) bool {
+func (b *backend) judgeZone(now micros, z int, s *zoneHealth, expect, fleet float64) bool {
 	switch {
 	case b.entry.Status != control.Ready || s.sick && now < s.retryAt:
 	case s.sick && b.stray: // not tried again before it is listed
@@ -189,7 +189,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.views)) {
 		end := roundEnd{make([]float64, len(p.zones)), errored, b.span, b.silent, p.all}
 		for i, load := range p.loads[id] {
-			if z := p.crews[i].zone; p.asked[z] > 0 {
+			if z := p.groups[i].zone; p.asked[z] > 0 {
 				end.expect[z] += load / p.asked[z] * p.tries[z]
 			}
 		}
@@ -293,11 +293,11 @@
 	return v.ready && v.zone >= 0 && (!set.own || v.zone == z) && set.serves(p.zones[v.zone])
 }
 
-// in tells whether a backend is in a crew, or of the same number in another zone. A group left with far less
+// in tells whether a backend is in a group, or of the same number in another zone. A group left with far less
 // room for its load than its zone has, all dead or cold but one, borrows from the zone: that one would fall.
-func (p *planner) in(v view, c crew) bool {
-	short := c.room*p.asked[c.zone] < 0.5*c.load*p.whole(c.zone).room
-	return c.group == p.groups || p.crews[p.member[v.id]].group == c.group || short && v.zone == c.zone
+func (p *planner) in(v view, c group) bool {
+	short := c.room*p.asked[c.zone] < 0.5*c.load*p.wholeZone(c.zone).room
+	return c.group == p.perZone || p.groups[p.member[v.id]].group == c.group || short && v.zone == c.zone
 }
 
 // home tells whether a backend is in a zone whose proxies are, in part at least, this controller's own.
@@ -305,13 +305,13 @@
 
 func (p *planner) usable(v view, z int) bool { return v.ready && (p.blind[z] || !v.sick[z]) }
 
-// found divides the zones into groups, the design's server groups: one table for all of a large zone costs
-// lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a backend's
-// connections; else groups are small, the larger the later all pairs are heard of: what is unknown must even
-// out within one. A zone's last group stands for all of it, for the few proxies far above the mean: for all
-// that are too large, a shift or repeats would put them all there when connections are shortest. It is done
-// anew where the list has grown to more than twice, as after a start by a short, wrong one.
-func (p *planner) found(fleet []view) {
+// divideZones divides the zones into groups, the design's server groups: one table for all of a large zone
+// costs lines, standstill and connections. A zone stays whole where all proxies take under a quarter of a
+// backend's connections; else groups are small, the larger the later all pairs are heard of: what is unknown
+// must even out within one. A zone's last group stands for all of it, for the few proxies far above the mean:
+// for all that are too large, a shift or repeats would put them all there when connections are shortest. It
+// is done anew where the list has grown to more than twice, as after a start by a short, wrong one.
+func (p *planner) divideZones(fleet []view) {
 	pairs := float64(p.proxies*len(p.kinds)/p.instances + len(fleet)/len(p.zones))
 	size, count := max(2, int(math.Ceil(2*pairs/p.intake))), make([]int, len(p.zones))
 	for _, v := range fleet {
@@ -319,34 +319,34 @@
 			count[v.zone]++
 		}
 	}
-	p.retired = append(p.retired, p.crews...)
-	p.founded, p.groups, p.crews = len(fleet), len(fleet), nil
+	p.retired = append(p.retired, p.groups...)
+	p.founded, p.perZone, p.groups = len(fleet), len(fleet), nil
 	p.member, p.homes = map[control.Backend]int{}, map[control.Proxy]int{}
 	for _, n := range count {
 		if n > 0 {
-			p.groups = max(1, min(p.groups, n/size))
+			p.perZone = max(1, min(p.perZone, n/size))
 		}
 	}
 	if 4*p.proxies < p.sockets {
-		p.groups = 1
+		p.perZone = 1
 	}
-	p.groups = max(1, p.groups)
+	p.perZone = max(1, p.perZone)
 	for z := range p.zones {
-		for g := range p.groups + 1 {
-			p.crews = append(p.crews, crew{id: p.groupsMade, zone: z, group: g, price: 1}) // the paper's start
+		for g := range p.perZone + 1 {
+			p.groups = append(p.groups, group{id: p.groupsMade, zone: z, group: g, price: 1}) // the paper's start
 			p.groupsMade++
 		}
 	}
 }
 
-// pack packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod, so that
-// what strikes a pod strikes few of a group.
-func (p *planner) pack(fleet []view, round bool) {
-	if p.crews == nil || len(fleet) > 2*p.founded {
-		p.found(fleet)
+// assignGroups packs backends and, by usage, proxies onto zone-local groups. Backends are dealt out by pod,
+// so that what strikes a pod strikes few of a group.
+func (p *planner) assignGroups(fleet []view, round bool) {
+	if p.groups == nil || len(fleet) > 2*p.founded {
+		p.divideZones(fleet)
 	}
-	for i, c := range p.crews {
-		p.crews[i] = crew{id: c.id, zone: c.zone, group: c.group, price: c.price}
+	for i, c := range p.groups {
+		p.groups[i] = group{id: c.id, zone: c.zone, group: c.group, price: c.price}
 	}
 	byPod := slices.Clone(fleet)
 	slices.SortStableFunc(byPod, func(a, b view) int { return cmp.Compare(a.entry.Pod, b.entry.Pod) })
@@ -354,32 +354,32 @@
 		if v.zone < 0 {
 			continue
 		} else if _, has := p.member[v.id]; !has {
-			p.member[v.id], _ = p.extremes(v.zone, func(c *crew) float64 { return c.worth })
+			p.member[v.id], _ = p.extremes(v.zone, func(c *group) float64 { return c.worth })
 		}
-		if c := &p.crews[p.member[v.id]]; p.usable(v, v.zone) {
-			for _, c := range []*crew{c, p.whole(v.zone)} {
+		if c := &p.groups[p.member[v.id]]; p.usable(v, v.zone) {
+			for _, c := range []*group{c, p.wholeZone(v.zone)} {
 				c.worth, c.room = c.worth+v.worth, c.room+v.room
 			}
 		}
 	}
 	bySize := slices.Clone(p.flows)
-	slices.SortStableFunc(bySize, func(a, b *flow) int { return cmp.Compare(b.total, a.total) })
+	slices.SortStableFunc(bySize, func(a, b *proxyUsage) int { return cmp.Compare(b.total, a.total) })
 	mean := sum(p.asked) / float64(max(1, len(p.flows)))
 	for _, placed := range []bool{true, false} {
 		for _, f := range bySize {
-			whole := p.whole(f.zone)
-			part := f.total * float64(p.groups) / max(whole.room, 1e-9) // of a group
+			whole := p.wholeZone(f.zone)
+			part := f.total * float64(p.perZone) / max(whole.room, 1e-9) // of a group
 			home, has := p.homes[f.proxy]
-			wide := has && p.crews[home].group == p.groups
-			if p.groups > 1 && (f.total > 4*mean && part > 0.5 || wide && f.total > 2*mean && part > 0.25) {
-				home, wide, has = (f.zone+1)*(p.groups+1)-1, false, true
+			wide := has && p.groups[home].group == p.perZone
+			if p.perZone > 1 && (f.total > 4*mean && part > 0.5 || wide && f.total > 2*mean && part > 0.25) {
+				home, wide, has = (f.zone+1)*(p.perZone+1)-1, false, true
 			}
 			if has = has && !wide; has != placed {
 				continue
 			} else if !has {
-				home, _ = p.extremes(f.zone, func(c *crew) float64 { return (c.load + f.total) / max(c.room, 1e-9) })
+				home, _ = p.extremes(f.zone, func(c *group) float64 { return (c.load + f.total) / max(c.room, 1e-9) })
 			}
-			c := &p.crews[home]
+			c := &p.groups[home]
 			p.homes[f.proxy], c.load, c.flows = home, c.load+f.total, append(c.flows, f)
 		}
 	}
@@ -395,8 +395,8 @@
 // have left them unequal.
 func (p *planner) even(fleet []view, z int) {
 	for range 3 {
-		poor, rich := p.extremes(z, func(c *crew) float64 { return c.worth })
-		low, high := &p.crews[poor], &p.crews[rich]
+		poor, rich := p.extremes(z, func(c *group) float64 { return c.worth })
+		low, high := &p.groups[poor], &p.groups[rich]
 		i := slices.IndexFunc(fleet, func(v view) bool {
 			return v.zone == z && p.member[v.id] == rich && p.usable(v, z) && v.worth < 0.7*(high.worth-low.worth)
 		})
@@ -412,8 +412,8 @@
 // the full one is no quiet one, and the proxy has not been moved for 15 seconds.
 func (p *planner) rebind(z int) {
 	for range 1 + len(p.flows)/50 {
-		empty, full := p.extremes(z, func(c *crew) float64 { return c.load / max(c.room, 1e-9) })
-		cool, hot, best := &p.crews[empty], &p.crews[full], -1
+		empty, full := p.extremes(z, func(c *group) float64 { return c.load / max(c.room, 1e-9) })
+		cool, hot, best := &p.groups[empty], &p.groups[full], -1
 		gap := (hot.load*cool.room - cool.load*hot.room) / max(hot.room+cool.room, 1e-9)
 		for i, f := range hot.flows {
 			if f.total < 1.5*gap && p.clock-p.moved[f.proxy] >= 15 &&
@@ -439,29 +439,29 @@
 	round := p.fresh
 	fleet := p.fleet()
 	p.look(fleet)
-	p.pack(fleet, round)
-	w := want{tables: map[groupID][]tablePlan{}, homes: map[control.Proxy]groupID{},
+	p.assignGroups(fleet, round)
+	w := targetState{tables: map[groupID][]tablePlan{}, homes: map[control.Proxy]groupID{},
 		ready: map[control.Backend]bool{}, urgent: p.urgent}
 	for _, f := range p.flows {
-		w.homes[f.proxy] = p.crews[p.homes[f.proxy]].id
+		w.homes[f.proxy] = p.groups[p.homes[f.proxy]].id
 	}
 	p.loads = map[control.Backend][]float64{}
 	for _, v := range fleet {
-		p.loads[v.id], w.ready[v.id] = make([]float64, len(p.crews)), v.ready
+		p.loads[v.id], w.ready[v.id] = make([]float64, len(p.groups)), v.ready
 	}
 	openness := p.openness(fleet)
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
 	for _, set := range p.sets {
-		for i, c := range p.crews {
+		for i, c := range p.groups {
 			if len(c.flows) > 0 || p.held[c.id] { // what proxies still hold is kept up, though they are to move
 				lines := p.table(fleet, set, c, openness[c.zone], taken)
 				w.tables[c.id] = append(w.tables[c.id], tablePlan{lines, p.guard(c, set, lines)})
 				p.load(i, set, lines, taken)
 			}
 		}
-		p.retired = slices.DeleteFunc(p.retired, func(c crew) bool { return !p.held[c.id] })
+		p.retired = slices.DeleteFunc(p.retired, func(c group) bool { return !p.held[c.id] })
 		for _, c := range p.retired { // its zone, as long as somebody holds it
-			whole := *p.whole(c.zone)
+			whole := *p.wholeZone(c.zone)
 			lines := p.table(fleet, set, whole, openness[c.zone], taken)
 			w.tables[c.id] = append(w.tables[c.id], tablePlan{lines, p.guard(whole, set, lines)})
 		}
@@ -469,7 +469,7 @@
 	p.admission(fleet)
 	// A crash forgets how full the fleet is; levels that proxies still hold stand until that is known again.
 	if p.known || p.letIn > 0 {
-		w.admits = p.deal()
+		w.admits = p.admitByKind()
 	}
 	p.channel.put(w)
 }
@@ -515,7 +515,7 @@
 
 // table makes the lines of a set's table for a zone's proxies. Weights say what backends can do beside the
 // fleet's mean, so that a line changes only when its backend, or the openness, does.
-func (p *planner) table(fleet []view, set kindSet, c crew, openness float64,
+func (p *planner) table(fleet []view, set kindSet, c group, openness float64,
 	taken map[control.Backend]float64) []line {
 	z, home := c.zone, c.worth > 0 && set.serves(p.zones[c.zone])
 	var lines, last []line
@@ -547,12 +547,12 @@
 // of a group that pushes the cold ones over, and the more so the larger the fleet is beside its groups. With
 // all kinds at this level one proxy and the load on top of it bring a cold backend, at 0.7 of its part, 0.7
 // of the multiple that it can bear; the rest is for chance and for what still travels. Whole zones need none.
-func (p *planner) guard(c crew, set kindSet, lines []line) float64 {
+func (p *planner) guard(c group, set kindSet, lines []line) float64 {
 	cold, carry := false, 0.0
 	for _, l := range lines {
 		cold, carry = cold || p.views[l.backend].share < 1, carry+l.weight*p.mean
 	}
-	if !cold || c.group == p.groups || p.levels != control.LevelRate || p.tip <= 1 {
+	if !cold || c.group == p.perZone || p.levels != control.LevelRate || p.tip <= 1 {
 		return everything
 	}
 	return carry * (p.tip - min(1, p.use)) / float64(bits.OnesCount64(uint64(set.mask)))
@@ -565,7 +565,7 @@
 // admission runs the design's price step and F-NORM on each group and publishes the traffic-weighted mean of
 // the groups' levels, only while load is above 90% of the summed capacity, on moves past the threshold.
 func (p *planner) admission(fleet []view) {
-	capacity, limited, letIn := make([]float64, len(p.crews)), false, 0.0
+	capacity, limited, letIn := make([]float64, len(p.groups)), false, 0.0
 	for _, v := range fleet {
 		c := v.room
 		if v.limit > 0 {
@@ -586,8 +586,8 @@
 		}
 	}
 	total, can := sum(p.asked), sum(capacity)
-	for i := range p.crews {
-		letIn += p.crews[i].let(capacity[i])
+	for i := range p.groups {
+		letIn += p.groups[i].let(capacity[i])
 	}
 	// More usage than all speeds learned together is slow to be: it need not wait for slow answers.
 	limited = limited || p.known && total > can
@@ -603,7 +603,7 @@
 }
 
 // let takes price steps of a group (paper, algorithm 1), then F-NORM, and returns what its capacity lets in.
-func (c *crew) let(capacity float64) float64 {
+func (c *group) let(capacity float64) float64 {
 	const gamma = 0.4 // the paper's
 	floor, rates := 1.0, 0.0
 	for _, f := range c.flows {
@@ -627,8 +627,8 @@
 	return min(c.load, rates/max(1, rates/max(capacity, 1e-9))) // F-NORM
 }
 
-// deal deals what is let in out to the request kinds; those of the least payoff are turned away first.
-func (p *planner) deal() []control.Admit {
+// admitByKind deals what is let in out to the request kinds; those of the least payoff are turned away first.
+func (p *planner) admitByKind() []control.Admit {
 	drop, usage, payoffs := 0.0, make([]float64, len(p.kinds)), map[float64]float64{} // usage by kind, by payoff
 	for _, f := range p.flows {
 		for k, u := range f.usage {
@@ -694,9 +694,9 @@
 	return high
 }
 
-// unsaidMost is how many messages of a stream are kept without an answer: one that has fallen silent has
-// more.
-const unsaidMost = 64
+// unacknowledgedMost is how many messages of a stream are kept without an answer: one that has fallen silent
+// has more.
+const unacknowledgedMost = 64
 
 // Parts of the queue: what may wait when routine goes out, when a whole table's change with a loss does, when
 // a proxy is bound, and when what is owed goes out; and what a line to all who share a copy of a table may
@@ -769,7 +769,7 @@
 // sendLoss sends what the tables of a replica lose: the whole change where that takes little, else as many
 // lines as fit. It tells whether all that is owed has gone out.
 func (c *channel) sendLoss(now micros, r *replica, open bool) (done bool) {
-	if !open || c.saves(now, r) {
+	if !open || c.savesLastMessage(now, r) {
 		return false
 	} else if c.anySated(r) {
 		c.evacuate(r)
@@ -801,16 +801,16 @@
 	return done
 }
 
-// saves tells whether a replica's loss waits for others that may come, as it would take the last message that
-// one of its proxies may get: as long as half of the grace is left to the channel, and what that was seen to
-// take.
-func (c *channel) saves(now micros, r *replica) bool {
+// savesLastMessage tells whether a replica's loss waits for others that may come, as it would take the last
+// message that one of its proxies may get: as long as half of the grace is left to the channel, and what that
+// was seen to take.
+func (c *channel) savesLastMessage(now micros, r *replica) bool {
 	last := func(s *stream) bool { return c.most > 0 && len(s.sent) == c.most-1 }
 	return slices.ContainsFunc(r.streams, last) && r.owed > 0 && now < r.owed+c.grace/2-c.lag()
 }
 
-// sated tells whether a stream may get no more messages now. Two are left to what is owed.
-func (c *channel) sated(s *stream, owed bool) bool {
+// messagesUsedUp tells whether a stream may get no more messages now. Two are left to what is owed.
+func (c *channel) messagesUsedUp(s *stream, owed bool) bool {
 	most := c.most
 	if !owed {
 		most -= 2
@@ -823,7 +823,7 @@
 func (c *channel) evacuate(r *replica) {
 	var fresh *replica
 	for _, s := range slices.Clone(r.streams) {
-		if r.owed == 0 || c.sated(s, true) || !c.binds(r, owedPart) {
+		if r.owed == 0 || c.messagesUsedUp(s, true) || !c.binds(r, owedPart) {
 			continue
 		}
 		if fresh == nil {
@@ -835,14 +835,14 @@
 
 // binds tells whether there is room to bind a proxy to a replica's tables.
 func (c *channel) binds(r *replica, part float64) bool {
-	return c.queued+c.head()+c.bindCost(r) < part*c.queueCap
+	return c.queued+c.messageOverhead()+c.bindCost(r) < part*c.queueCap
 }
 
 // bindPlanned binds a proxy to the tables that it is to have, if there is room. One that may get no message
 // now holds back nobody.
 func (c *channel) bindPlanned(s *stream) bool {
 	r := c.copyFor(c.plan.homes[s.proxy])
-	if c.sated(s, s.replica == nil) {
+	if c.messagesUsedUp(s, s.replica == nil) {
 		return true
 	} else if !c.binds(r, bindPart) {
 		return false
@@ -859,7 +859,8 @@
 			least = r
 		}
 	}
-	if least == nil || float64(len(least.streams)+1)*(c.head()+1) > max(copyPart*c.queueCap, c.head()+1) {
+	line := c.messageOverhead() + 1 // to one proxy
+	if least == nil || float64(len(least.streams)+1)*line > max(copyPart*c.queueCap, line) {
 		return c.addReplica(group)
 	}
 	return least
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -572,8 +572,8 @@
 			t.Errorf("proxy %d still has the draining backend", p)
 		}
 	}
-	if s := h.in.parts[3].(*channel).streams[2]; len(s.unsaid) > unsaidMost || len(s.unsaid) < 10 {
-		t.Errorf("%d messages to the silent proxy are kept", len(s.unsaid))
+	if s := h.in.parts[3].(*channel).streams[2]; len(s.unacknowledged) > unacknowledgedMost || len(s.unacknowledged) < 10 {
+		t.Errorf("%d messages to the silent proxy are kept", len(s.unacknowledged))
 	}
 }
 
@@ -591,7 +591,7 @@
 	}
 	h.pass(second, h.steady(20, 0.5, 200_000))
 	in, most := h.in, 6+int(forgotten/second)+3
-	for what, n := range map[string]int{"actors": len(in.roll.actors), "order": len(in.roll.order), "left": len(in.roll.left),
+	for what, n := range map[string]int{"actors": len(in.endpoints.actors), "order": len(in.endpoints.order), "left": len(in.endpoints.left),
 		"views": len(in.planner.views), "member": len(in.planner.member), "loads": len(in.planner.loads)} {
 		if n > most {
 			t.Errorf("%d %s are kept, %d expected", n, what, most)
@@ -600,7 +600,7 @@
 	back := ready("a", "299")
 	h.tell(control.List{How: control.ListChanges, Entries: back})
 	h.pass(2*forgotten, h.steady(20, 0.5, 200_000))
-	if in.roll.actors["299"] == nil || in.roll.actors["298"] != nil || len(in.roll.actors) != 7 {
-		t.Errorf("%d actors", len(in.roll.actors))
+	if in.endpoints.actors["299"] == nil || in.endpoints.actors["298"] != nil || len(in.endpoints.actors) != 7 {
+		t.Errorf("%d actors", len(in.endpoints.actors))
 	}
 }
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -31,7 +31,7 @@
 		span   float64 // seconds since the last with reports, 0: none came
 		silent micros  // what was not heard for longer has had no tries
 	}
-	heed struct{} // all events have been taken: the book tells, then the planner plans
+	batchEnd struct{} // all events have been taken: the registry tells, then the planner plans
 
 	lost     struct{ id control.Backend } // long gone: nothing is kept of it
 	settled  struct{}                     // a list newer than the saved one has come
@@ -52,7 +52,7 @@
 		worth, room float64 // the planner's: reqs a second when warm, and of that now
 		urgent      bool
 	}
-	flow struct { // a proxy and its usage, reqs a second, by request kind and in all
+	proxyUsage struct { // a proxy and its usage, reqs a second, by request kind and in all
 		proxy         control.Proxy
 		zone          int
 		usage, round  []float64 // round: reqs heard of in this round
@@ -60,23 +60,23 @@
 		total         float64
 		joined, known bool
 	}
-	demand struct { // book to the planner: the joined proxies
-		flows       []*flow
+	demand struct { // proxyRegistry to the planner: the joined proxies
+		flows       []*proxyUsage
 		all, urgent bool
 	}
 	line struct {
 		backend control.Backend
 		weight  float64
 	}
-	want struct { // planner to the channel: how the proxies should stand
+	targetState struct { // planner to the channel: how the proxies should stand
 		tables map[groupID][]tablePlan // of each planned group, by set of kinds; a group that is missing is not planned
 		homes  map[control.Proxy]groupID
 		ready  map[control.Backend]bool // may be offered; what else a table still holds is withdrawn
 		admits []control.Admit
 		urgent bool
 	}
-	held  struct{ groups map[groupID]bool } // channel to the planner: a proxy is bound to these groups' tables
-	retry struct{}                          // the time has come to try again what was owed and did not go out
+	heldGroups struct{ groups map[groupID]bool } // channel to the planner: a proxy is bound to these groups' tables
+	retry      struct{}                          // the time has come to try again what was owed and did not go out
 )
 
 // groupID names a group of endpoints, also after the zones have been divided anew.
@@ -116,8 +116,8 @@
 // Instance is one coordinator's decisions.
 type Instance struct {
 	out           *outbox
-	roll          *roll
-	book          *book
+	endpoints     *endpointList
+	proxies       *proxyRegistry
 	planner       *planner
 	parts         []part
 	period, round micros  // of the reports; when the last round with reports ended
@@ -138,11 +138,11 @@
 	pl := newPlanner(out, ch, up.Zones, up.Kinds, up.Levels, max(1, up.Instances), up.Proxies, up.Channel.Sockets,
 		max(1, up.Reports.Intake), r.TipMultiple, period, savedListHolds(period, r.DrainGrace))
 	ch.tellHeld = pl.put
-	roll := newRoll(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
+	roll := newEndpointList(out, pl, up.MustAsk, up.Seed, func(id control.Backend) *backend {
 		return newBackend(id, out, pl, up.Zones, r.Cold, r.ColdFrom, r.ProbeAllowed, r.SoftRemoval, target, period)
 	})
-	book := newBook(pl, up.Zones, len(up.Kinds))
-	return &Instance{out: out, roll: roll, book: book, planner: pl, period: period, intake: up.Reports.Intake,
+	book := newProxyRegistry(pl, up.Zones, len(up.Kinds))
+	return &Instance{out: out, endpoints: roll, proxies: book, planner: pl, period: period, intake: up.Reports.Intake,
 		parts: []part{roll, book, pl, ch}}
 }
 
@@ -175,8 +175,8 @@
 		}
 	}
 	in.run(now)
-	for _, p := range []part{in.book, in.planner} {
-		p.put(heed{})
+	for _, p := range []part{in.proxies, in.planner} {
+		p.put(batchEnd{})
 		in.run(now)
 	}
 	return in.out.orders
@@ -202,9 +202,9 @@
 func (in *Instance) Belief() Belief {
 	pl, ch := in.planner, in.planner.channel
 	b := Belief{Proxies: len(ch.streams), Queued: ch.waiting(ch.lastAt), Asked: sum(pl.asked), Pace: pl.pace, Use: pl.use, LetIn: pl.letIn,
-		Actors: len(in.roll.order), Tables: len(ch.replicas) * len(ch.masks)}
+		Actors: len(in.endpoints.order), Tables: len(ch.replicas) * len(ch.masks)}
 	for _, s := range ch.streams {
-		b.Unsaid += len(s.unsaid)
+		b.Unsaid += len(s.unacknowledged)
 	}
 	for _, v := range pl.views {
 		if !v.ready {
@@ -221,8 +221,8 @@
 			b.Limited++
 		}
 	}
-	for _, c := range pl.crews {
-		if c.group == pl.groups {
+	for _, c := range pl.groups {
+		if c.group == pl.perZone {
 			b.Room += c.room
 		}
 	}
@@ -234,7 +234,7 @@
 	for busy := true; busy; {
 		busy = false
 		parts := in.parts
-		for _, b := range in.roll.order {
+		for _, b := range in.endpoints.order {
 			parts = append(parts, b)
 		}
 		for _, p := range parts {
@@ -266,8 +266,8 @@
 	return n, sum
 }
 
-// roll follows the list and keeps the actors, in the order in which they were first listed.
-type roll struct {
+// endpointList follows the list and keeps the actors, in the order in which they were first listed.
+type endpointList struct {
 	inbox
 	out         *outbox
 	planner     *planner
@@ -280,12 +280,12 @@
 	left        map[control.Backend]micros // since when it is gone
 }
 
-func newRoll(out *outbox, p *planner, ask bool, seed uint64, actor func(control.Backend) *backend) *roll {
-	return &roll{out: out, planner: p, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{},
+func newEndpointList(out *outbox, p *planner, ask bool, seed uint64, actor func(control.Backend) *backend) *endpointList {
+	return &endpointList{out: out, planner: p, ask: ask, seed: seed, actor: actor, actors: map[control.Backend]*backend{},
 		left: map[control.Backend]micros{}}
 }
 
-func (r *roll) take(now micros, n note) {
+func (r *endpointList) take(now micros, n note) {
 	switch n := n.(type) {
 	case beat:
 		r.forget(now)
@@ -302,7 +302,7 @@
 	}
 }
 
-func (r *roll) follow(now micros, list control.List) {
+func (r *endpointList) follow(now micros, list control.List) {
 	if list.How == control.ListFailed {
 		r.again()
 		return
@@ -328,7 +328,7 @@
 }
 
 // leave notes since when a backend is gone, or that it is not.
-func (r *roll) leave(now micros, id control.Backend, gone bool) {
+func (r *endpointList) leave(now micros, id control.Backend, gone bool) {
 	if _, has := r.left[id]; !gone {
 		delete(r.left, id)
 	} else if !has && r.actors[id] != nil {
@@ -338,7 +338,7 @@
 
 // forget drops the actors of those long gone: under ever new names they would pile up. One that only the list has dropped
 // may still stand in tables and stays.
-func (r *roll) forget(now micros) {
+func (r *endpointList) forget(now micros) {
 	for _, b := range slices.Clone(r.order) {
 		if at, gone := r.left[b.id]; gone && now-at > forgotten && !b.stray {
 			delete(r.left, b.id)
@@ -350,13 +350,13 @@
 }
 
 // chance draws from 0 to under 1.
-func (r *roll) chance() float64 {
+func (r *endpointList) chance() float64 {
 	r.draws++
 	key := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.draws)
 	return float64(crc32.ChecksumIEEE(key)) / (1 << 32)
 }
 
-func (r *roll) pass(id control.Backend, n note) {
+func (r *endpointList) pass(id control.Backend, n note) {
 	if b := r.actors[id]; b != nil {
 		b.put(n)
 	}
@@ -375,7 +375,7 @@
 	stray                bool // dropped from the list without a drain
 	lost                 bool // forgotten
 	entry                control.Entry
-	seats                []seat
+	byZone               []zoneHealth
 	loads                control.Loads // as told this round
 	speed                hist          // by busy share: busy seconds and done reqs
 	heardAt              micros
@@ -390,8 +390,8 @@
 	backAt, wellAt       micros  // when it last came back from trouble, when a probe last went well
 }
 
-// seat is what the proxies of one zone see of a backend.
-type seat struct {
+// zoneHealth is what the proxies of one zone see of a backend.
+type zoneHealth struct {
 	tries, errored, answer float64 // this round
 	served, newest         float64 // reqs a second done, and in the newest report
 	at                     micros  // until when they are counted
@@ -403,7 +403,7 @@
 func newBackend(id control.Backend, out *outbox, p *planner, zones []control.Zone, cold micros,
 	coldFrom float64, probes, soft bool, target, period micros) *backend {
 	return &backend{id: id, out: out, planner: p, zones: zones, cold: cold, coldFrom: coldFrom, probes: probes, soft: soft,
-		target: target, period: period, seats: make([]seat, len(zones))}
+		target: target, period: period, byZone: make([]zoneHealth, len(zones))}
 }
 
 func (b *backend) take(now micros, n note) {
@@ -413,7 +413,7 @@
 		b.tell(now, true)
 	case control.Heard:
 		if z := slices.Index(b.zones, n.Zone); z >= 0 {
-			s := &b.seats[z]
+			s := &b.byZone[z]
 			s.tries += float64(n.Tries)
 			s.errored += float64(n.Errored)
 			s.answer += float64(n.Tries-n.Errored) * float64(n.Answer)
@@ -439,33 +439,33 @@
 	}
 	v := view{backend: *b, box: &b.inbox, zone: slices.Index(b.zones, b.entry.Zone),
 		ready: b.entry.Status == control.Ready, heard: now-b.heardAt < lately, share: b.share(now), urgent: urgent}
-	for _, s := range b.seats {
+	for _, s := range b.byZone {
 		v.sick = append(v.sick, s.sick)
 	}
 	b.planner.put(v)
 }
 
-// book keeps the proxies and what comes to them.
-type book struct {
+// proxyRegistry keeps the proxies and what comes to them.
+type proxyRegistry struct {
 	inbox
 	planner *planner
 	zones   []control.Zone
 	kinds   int
-	flows   map[control.Proxy]*flow
+	flows   map[control.Proxy]*proxyUsage
 	due     bool // there is something to tell the planner
 	urgent  bool
 }
 
-func newBook(p *planner, zones []control.Zone, kinds int) *book {
-	return &book{planner: p, zones: zones, kinds: kinds, flows: map[control.Proxy]*flow{}}
+func newProxyRegistry(p *planner, zones []control.Zone, kinds int) *proxyRegistry {
+	return &proxyRegistry{planner: p, zones: zones, kinds: kinds, flows: map[control.Proxy]*proxyUsage{}}
 }
 
-func (k *book) take(now micros, n note) {
+func (k *proxyRegistry) take(now micros, n note) {
 	switch n := n.(type) {
 	case control.Joined:
 		f := k.flows[n.Proxy]
 		if f == nil {
-			f = &flow{proxy: n.Proxy, usage: make([]float64, k.kinds)}
+			f = &proxyUsage{proxy: n.Proxy, usage: make([]float64, k.kinds)}
 			k.flows[n.Proxy] = f
 		}
 		f.joined, f.zone, f.round = true, slices.Index(k.zones, n.Zone), make([]float64, k.kinds)
@@ -491,14 +491,14 @@
 			}
 		}
 		k.due = true
-	case heed:
+	case batchEnd:
 		if k.due {
 			k.tell()
 		}
 	}
 }
 
-func (k *book) tell() {
+func (k *proxyRegistry) tell() {
 	d, here, away := demand{urgent: k.urgent}, 0.0, 0.0
 	k.due, k.urgent = false, false
 	for _, id := range slices.Sorted(maps.Keys(k.flows)) {
@@ -531,7 +531,7 @@
 	levels      control.LevelKind
 	sets        []kindSet
 	views       map[control.Backend]view
-	flows       []*flow
+	flows       []*proxyUsage
 	instances   int
 	intake      float64                       // report lines a second
 	mean        float64                       // a backend\'s worth
@@ -539,14 +539,14 @@
 	tip         float64                       // the multiple of its capacity that a cold backend can bear
 	sockets     int                           // connections that the smallest backend takes
 	founded     int                           // backends when the groups were made
-	groups      int                           // in a zone; one more stands for all of it
-	crews       []crew                        // the groups, by zone
-	member      map[control.Backend]int       // its crew
-	homes       map[control.Proxy]int         // its crew
+	perZone     int                           // in a zone; one more stands for all of it
+	groups      []group                       // the groups, by zone
+	member      map[control.Backend]int       // its group
+	homes       map[control.Proxy]int         // its group
 	moved       map[control.Proxy]float64     // when it was last moved
 	clock       float64                       // seconds of rounds with reports, from 100 on: nobody has been moved yet
 	asked       []float64                     // reqs a second, by zone of the proxies
-	loads       map[control.Backend][]float64 // reqs a second it should get, by crew
+	loads       map[control.Backend][]float64 // reqs a second it should get, by group
 	tries       []float64                     // heard this round, by zone of the proxies
 	blind       []bool                        // by zone: sick marks are passed over
 	errored     float64                       // tries of this round
@@ -555,7 +555,7 @@
 	use, erring float64                       // the fleet's load over its room, the part of its tries that err
 	letIn       float64                       // published: reqs a second in all; 0: open
 	held        map[groupID]bool              // groups whose tables proxies are bound to
-	retired     []crew                        // of earlier divisions: proxies are still bound to their tables
+	retired     []group                       // of earlier divisions: proxies are still bound to their tables
 	groupsMade  groupID                       // how many have been named so far
 	linesMost   int                           // of a table: more would not fit into the queue with the others of its proxy
 	period      micros                        // of the reports, and so of beats
@@ -632,14 +632,14 @@
 		delete(p.member, n.id)
 	case settled:
 		p.due, p.settled = p.due || !p.settled, true
-	case held:
+	case heldGroups:
 		p.held = n.groups
 	case beat:
 		if n.span > 0 {
 			p.clock += n.span
 			p.endRound(n)
 		}
-	case heed:
+	case batchEnd:
 		if p.due && p.believes(now) {
 			p.plan()
 			p.due, p.urgent = false, false
@@ -647,28 +647,28 @@
 	}
 }
 
-// crew is a group of a zone's backends and the proxies bound to it.
-type crew struct {
+// group is a group of a zone's backends and the proxies bound to it.
+type group struct {
 	id          groupID
 	zone, group int     // group p.groups is all of the zone
 	worth, room float64 // of its usable backends
 	load        float64 // usage of its proxies
 	price       float64
-	flows       []*flow
+	flows       []*proxyUsage
 }
 
-// whole is the crew of all of a zone.
-func (p *planner) whole(z int) *crew { return &p.crews[(z+1)*(p.groups+1)-1] }
+// wholeZone is the group of all of a zone.
+func (p *planner) wholeZone(z int) *group { return &p.groups[(z+1)*(p.perZone+1)-1] }
 
-// extremes finds the crews of a zone, but for the whole, of which something is the least and the most.
-func (p *planner) extremes(z int, of func(c *crew) float64) (least, most int) {
-	first := z * (p.groups + 1)
+// extremes finds the groups of a zone, but for the whole, of which something is the least and the most.
+func (p *planner) extremes(z int, of func(c *group) float64) (least, most int) {
+	first := z * (p.perZone + 1)
 	least, most = first, first
-	for i := first; i < first+p.groups; i++ {
-		if of(&p.crews[i]) < of(&p.crews[least]) {
+	for i := first; i < first+p.perZone; i++ {
+		if of(&p.groups[i]) < of(&p.groups[least]) {
 			least = i
 		}
-		if of(&p.crews[i]) > of(&p.crews[most]) {
+		if of(&p.groups[i]) > of(&p.groups[most]) {
 			most = i
 		}
 	}
@@ -681,7 +681,7 @@
 	for _, l := range lines {
 		weight += l.weight
 	}
-	for _, f := range p.crews[group].flows {
+	for _, f := range p.groups[group].flows {
 		for k, u := range f.usage {
 			if set.mask&(1<<k) != 0 {
 				usage += u
--- a/choice/withdrawal_test.go
+++ b/choice/withdrawal_test.go
@@ -45,7 +45,7 @@
 
 // wait keeps so much of the queue taken: routine, moves and joinings do not go out.
 func (h *host) wait(part float64) {
-	h.channel().left = []posted{{at: h.now, lines: part * h.channel().queueCap}}
+	h.channel().left = []pendingMessage{{at: h.now, lines: part * h.channel().queueCap}}
 }
 
 // A proxy is to move to another group and can't yet: the queue has no room for routine. Its old group has no proxies any more by the
@@ -54,11 +54,11 @@
 func TestTableThatIsToBeLeftLosesEndpoints(t *testing.T) {
 	h, ids := zoneOf(t, 8, 1, nil)
 	planner, old := h.in.planner, h.in.planner.homes[0]
-	if planner.groups < 2 {
-		t.Fatalf("%d groups", planner.groups)
+	if planner.perZone < 2 {
+		t.Fatalf("%d groups", planner.perZone)
 	}
 	h.wait(0.5)
-	planner.homes[0] = (old + 1) % planner.groups
+	planner.homes[0] = (old + 1) % planner.perZone
 	var mine control.Backend
 	for _, id := range ids {
 		if h.offers(0, 0, id) {
@@ -70,7 +70,7 @@
 		h.wait(0.5)
 		h.pass(second/10, nil)
 	}
-	if planner.homes[0] == old || h.channel().streams[0].replica.group != planner.crews[old].id {
+	if planner.homes[0] == old || h.channel().streams[0].replica.group != planner.groups[old].id {
 		t.Fatal("it was to be bound to the old group, and planned to another")
 	}
 	if h.offers(0, 0, mine) {
@@ -184,7 +184,7 @@
 	drained := w.lines(0)[99].backend
 	delete(w.ready, drained)
 	w.tables[0] = []tablePlan{{lines: w.lines(0)[50:99], guard: everything}} // fifty are sick
-	c.left = []posted{{at: now, lines: 0.8 * c.queueCap}}
+	c.left = []pendingMessage{{at: now, lines: 0.8 * c.queueCap}}
 	c.sendPlan(now, w)
 	var lost []control.Backend
 	for _, order := range out.orders {
@@ -205,7 +205,7 @@
 			t.Errorf("with %.0f lines in the queue the proxy keeps what it brought along", limit)
 			continue
 		}
-		cost := h.channel().head() + h.channel().bindCost(h.channel().streams[0].replica)
+		cost := h.channel().messageOverhead() + h.channel().bindCost(h.channel().streams[0].replica)
 		if cost > limit {
 			t.Errorf("its tables cost %.0f lines, of %.0f", cost, limit)
 		}
@@ -311,7 +311,7 @@
 	h, _ := zoneOf(t, 8, 2, nil)
 	failed := h.in
 	failed.planner.channel.streams[1].sent = slices.Repeat([]micros{h.now}, 20)
-	failed.planner.channel.streams[0].unsaid = []posted{{at: h.now, lines: 1234}}
+	failed.planner.channel.streams[0].unacknowledged = []pendingMessage{{at: h.now, lines: 1234}}
 	h.in = New(control.Up{Zones: []control.Zone{"a"}, Kinds: make([]control.KindSettings, 2), Reports: control.ReportSettings{Period: second},
 		Rules: control.RuleSettings{QueueCap: 5000, MessageCap: 20, MessageSpan: 10 * second, DrainGrace: 3 * second}})
 	h.in.TakeOver(failed)
@@ -367,7 +367,7 @@
 		c.take(now, control.Joined{Proxy: 1000 + p})
 		w.homes[1000+p] = 0
 	}
-	c.left = []posted{{at: now, lines: 0.75 * c.queueCap}}
+	c.left = []pendingMessage{{at: now, lines: 0.75 * c.queueCap}}
 	w.withdraw(0, 2, 1)
 	c.sendPlan(now, w)
 	if n := out.losses(); n != 2 {
