--- a/choice/channel.go
+++ b/choice/channel.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -50,7 +48,6 @@
 	streams []*stream   // that are bound to it, by proxy
 	owed    micros      // since when a withdrawn endpoint stands in it; 0: none does
 	lostAt  micros      // when lines were last taken out
-	lean    bool        // it has a few of the planned lines: many proxies waited for room when it was made
 }
 
 // table is the number of the table for a set of kinds.
@@ -172,13 +169,13 @@
 const copiesFrom control.Table = 1 << 15
 
 // addReplica makes a copy of a group's tables; it costs nothing until somebody is bound to it.
-func (c *channel) addReplica(group groupID, lean bool) *replica {
-	r := &replica{group: group, lean: lean, first: control.Table(int(group) * len(c.masks)), tables: make([]heldTable, len(c.masks))}
+func (c *channel) addReplica(group groupID) *replica {
+	r := &replica{group: group, first: control.Table(int(group) * len(c.masks)), tables: make([]heldTable, len(c.masks))}
 	for set := range r.tables {
 		r.tables[set].lines = map[control.Backend]float64{}
 	}
 	at, taken := c.place(r.first)
-	if taken || lean || r.first >= copiesFrom {
+	if taken || r.first >= copiesFrom {
 		r.first = copiesFrom
 		for at, taken = c.place(r.first); taken; at, taken = c.place(r.first) {
 			r.first += control.Table(len(c.masks))
@@ -208,12 +205,12 @@
 func (c *channel) followPlan() {
 	kept := map[groupID]bool{}
 	for _, r := range c.replicas {
-		kept[r.group] = kept[r.group] || len(r.streams) > 0 && !r.lean
+		kept[r.group] = kept[r.group] || len(r.streams) > 0
 	}
 	c.replicas = slices.DeleteFunc(c.replicas, func(r *replica) bool {
 		_, planned := c.plan.tables[r.group]
-		if len(r.streams) > 0 || planned && !kept[r.group] && !r.lean {
-			kept[r.group] = kept[r.group] || !r.lean
+		if len(r.streams) > 0 || planned && !kept[r.group] {
+			kept[r.group] = true
 			return false
 		}
 		for set := range r.tables {
@@ -223,7 +220,7 @@
 	})
 	for _, group := range slices.Sorted(maps.Keys(c.plan.tables)) {
 		if !kept[group] {
-			c.addReplica(group, false)
+			c.addReplica(group)
 		}
 	}
 	for _, r := range c.replicas {
@@ -340,22 +337,6 @@
 	return replicas
 }
 
-// copyFor is the copy of a group's tables that a proxy is bound to: the one with the fewest, a new one if all
-// have as many as one line of each may reach.
-func (c *channel) copyFor(group groupID, lean bool) (least *replica) {
-	for _, r := range c.replicas {
-		if r.group == group && r.lean == lean && (least == nil || len(r.streams) < len(least.streams)) {
-			least = r
-		}
-	}
-	line := c.messageOverhead() + 1 // to one proxy
-	full := least == nil || float64(len(least.streams)+1)*line > max(copyPart*c.queueCap, line)
-	if full || lean && len(least.streams) >= leanLines {
-		return c.addReplica(group, lean)
-	}
-	return least
-}
-
 // anySated tells whether one of a replica's proxies may get no more messages now.
 func (c *channel) anySated(r *replica) bool {
 	return slices.ContainsFunc(r.streams, func(s *stream) bool { return c.messagesUsedUp(s, r.owed > 0) })
@@ -435,52 +416,3 @@
 	}
 	c.lags[0], c.answered = max(c.lags[0], lag), true
 }
-
-// planned are the lines that one of a replica's tables is to hold. A lean one keeps what it holds of them, and has others drawn by
-// weight, each copy its own, so that no few endpoints get what comes to all of them; cold ones only if there are no others.
-func (c *channel) planned(r *replica, set int) []line {
-	lines := c.plan.tables[r.group][set].lines
-	if !r.lean || len(lines) <= leanLines {
-		return lines
-	}
-	order := map[control.Backend]float64{}
-	for _, l := range lines {
-		name := binary.LittleEndian.AppendUint32([]byte(l.backend), uint32(r.first))
-		draw := (float64(crc32.ChecksumIEEE(name)) + 1) / (1 << 32)
-		order[l.backend] = -math.Log(draw) / l.weight
-		if r.tables[set].lines[l.backend] > 0 {
-			order[l.backend] = -1
-		} else if c.plan.cold[l.backend] {
-			order[l.backend] = math.Inf(1)
-		}
-	}
-	lines = slices.Clone(lines)
-	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(order[a.backend], order[b.backend]) })
-	return lines[:leanLines]
-}
-
-// wait tells whether the whole tables of all streams that join do not fit into the queue.
-func (c *channel) wait(joins []*stream) bool {
-	cost, bind := 0.0, map[groupID]float64{}
-	for _, s := range joins {
-		group := c.plan.homes[s.proxy]
-		if _, has := bind[group]; !has {
-			bind[group] = c.messageOverhead() + c.bindCost(c.copyFor(group, false))
-		}
-		cost += bind[group]
-	}
-	return c.queued+cost > bindPart*c.queueCap
-}
-
-// fillLean has lean tables filled up with what else is planned.
-func (c *channel) fillLean() {
-	for _, r := range c.replicas {
-		if r.lean {
-			r.lean = false
-			for set := range r.tables {
-				r.tables[set].change = c.differs(r, set)
-			}
-			return // one at a time: it takes room
-		}
-	}
-}
--- a/choice/channel_test.go
+++ b/choice/channel_test.go
@@ -47,17 +47,16 @@
 	c := newChannel(out, 60000, 6, 20, 10*second, second, testGrace)
 	c.masks = []control.Kinds{7}
 	w := planOf(1, 100)
-	at := micros(0)
-	for p := range proxies { // a few at a time: all of them share one copy of the whole table
-		c.take(at, control.Joined{Proxy: control.Proxy(p)})
-		if w.homes[control.Proxy(p)] = 0; p%20 == 19 || p == proxies-1 {
-			c.sendPlan(at, w)
-			c.answerAll()
-			at += second / 10
-		}
+	for p := range proxies {
+		c.take(0, control.Joined{Proxy: control.Proxy(p)})
+		w.homes[control.Proxy(p)] = 0
 	}
-	if c.bound() < proxies || len(c.replicas) != 1 {
-		t.Fatalf("%d are bound, to %d copies", c.bound(), len(c.replicas))
+	for at := micros(0); c.bound() < proxies; at += second / 10 {
+		c.sendPlan(at, w)
+		c.answerAll()
+		if at > 100*second {
+			t.Fatal("they are not bound")
+		}
 	}
 	out.orders = nil
 	return c, out, w
@@ -173,15 +172,14 @@
 	c := newChannel(out, 1000, 6, 0, 10*second, second, testGrace)
 	c.masks = []control.Kinds{7}
 	w := planOf(1, 100)
-	const proxies = 60
-	for p := range proxies {
+	for p := range 20 {
 		c.take(0, control.Joined{Proxy: control.Proxy(p)})
 		w.homes[control.Proxy(p)] = 0
 	}
 	c.sendPlan(0, w)
 	c.sendPlan(30*second, w)
 	bound := c.bound()
-	if bound == 0 || bound == proxies {
+	if bound == 0 || bound == 20 {
 		t.Fatalf("%d are bound", bound)
 	}
 	for p := range bound { // they leave, and answer no more
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -441,13 +441,13 @@
 	p.look(fleet)
 	p.assignGroups(fleet, round)
 	w := targetState{tables: map[groupID][]tablePlan{}, homes: map[control.Proxy]groupID{},
-		ready: map[control.Backend]bool{}, cold: map[control.Backend]bool{}, urgent: p.urgent}
+		ready: map[control.Backend]bool{}, urgent: p.urgent}
 	for _, f := range p.flows {
 		w.homes[f.proxy] = p.groups[p.homes[f.proxy]].id
 	}
 	p.loads = map[control.Backend][]float64{}
 	for _, v := range fleet {
-		p.loads[v.id], w.ready[v.id], w.cold[v.id] = make([]float64, len(p.groups)), v.ready, v.share < 1
+		p.loads[v.id], w.ready[v.id] = make([]float64, len(p.groups)), v.ready
 	}
 	openness := p.openness(fleet)
 	taken := map[control.Backend]float64{} // by the kinds that may not go everywhere, whose sets come first
@@ -734,11 +734,8 @@
 		c.held = c.sendTables(now, routine)
 	}
 	if free && c.queued < routine {
-		if !pending {
-			c.fillLean()
-		}
 		for _, s := range c.moves() {
-			c.bindPlanned(s, false)
+			c.bindPlanned(s)
 		}
 	}
 	c.finish(now)
@@ -758,10 +755,8 @@
 	for _, r := range losing {
 		pending = r.owed > 0 && !c.sendLoss(now, r, open) || pending
 	}
-	joins := c.joins()
-	lean := c.wait(joins) // whole tables for all of them do not fit: a few lines each, the rest as routine later
-	for _, s := range joins {
-		pending = !c.bindPlanned(s, lean) || pending
+	for _, s := range c.joins() {
+		pending = !c.bindPlanned(s) || pending
 	}
 	for _, r := range losing {
 		if r.owed == 0 {
@@ -832,7 +827,7 @@
 			continue
 		}
 		if fresh == nil {
-			fresh = c.addReplica(r.group, r.lean)
+			fresh = c.addReplica(r.group)
 		}
 		c.bind(s, fresh)
 	}
@@ -845,8 +840,8 @@
 
 // bindPlanned binds a proxy to the tables that it is to have, if there is room. One that may get no message
 // now holds back nobody.
-func (c *channel) bindPlanned(s *stream, lean bool) bool {
-	r := c.copyFor(c.plan.homes[s.proxy], lean)
+func (c *channel) bindPlanned(s *stream) bool {
+	r := c.copyFor(c.plan.homes[s.proxy])
 	if c.messagesUsedUp(s, s.replica == nil) {
 		return true
 	} else if !c.binds(r, bindPart) {
@@ -856,8 +851,20 @@
 	return true
 }
 
-// leanLines is how many lines a lean table has, as proxies' own standing tables, and how many proxies share one.
-const leanLines = 8
+// copyFor is the copy of a group's tables that a proxy is bound to: the one with the fewest, a new one if all
+// have as many as one line of each may reach.
+func (c *channel) copyFor(group groupID) (least *replica) {
+	for _, r := range c.replicas {
+		if r.group == group && (least == nil || len(r.streams) < len(least.streams)) {
+			least = r
+		}
+	}
+	line := c.messageOverhead() + 1 // to one proxy
+	if least == nil || float64(len(least.streams)+1)*line > max(copyPart*c.queueCap, line) {
+		return c.addReplica(group)
+	}
+	return least
+}
 
 // sendTables sends the other lines that differ by enough, and the tables' own levels, while no more than most
 // waits. What does not fit, be it that half the fleet changed at once, waits for its turn: it tells whether
@@ -911,7 +918,7 @@
 	}
 	held, wanted := r.tables[set].lines, map[control.Backend]bool{}
 	var best line // of those that come
-	for _, l := range c.planned(r, set) {
+	for _, l := range planned[set].lines {
 		wanted[l.backend] = true
 		if near(l.weight, held[l.backend]) {
 			continue
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -72,7 +72,6 @@
 		tables map[groupID][]tablePlan // of each planned group, by set of kinds; a group that is missing is not planned
 		homes  map[control.Proxy]groupID
 		ready  map[control.Backend]bool // may be offered; what else a table still holds is withdrawn
-		cold   map[control.Backend]bool // eased in
 		admits []control.Admit
 		urgent bool
 	}
--- a/choice/withdrawal_test.go
+++ b/choice/withdrawal_test.go
@@ -170,13 +170,8 @@
 			}
 		}
 		for _, r := range ch.replicas {
-			for id := range r.tables[0].lines {
-				if !w.ready[id] {
-					t.Errorf("%+v: %s stands in a table", c, id)
-				}
-			}
-			if len(r.tables[0].lines) == 0 {
-				t.Errorf("%+v: a table is empty", c)
+			if n := len(r.tables[0].lines); n != 100-c.lost {
+				t.Errorf("%+v: a table has %d lines", c, n)
 			}
 		}
 	}
@@ -382,43 +377,3 @@
 		t.Errorf("%d were bound beside them, though the queue was full", bound)
 	}
 }
-
-// More proxies join than whole tables fit into the queue: each gets a few lines at once, not the same ones, and the rest follows.
-func TestManyThatWaitGetFewLinesFirst(t *testing.T) {
-	const proxies = 300
-	c := newChannel(&outbox{}, 10000, 6, 0, 10*second, second, testGrace)
-	c.masks = []control.Kinds{7}
-	w := planOf(1, 100)
-	w.cold = map[control.Backend]bool{w.lines(0)[0].backend: true}
-	for p := range control.Proxy(proxies) {
-		c.take(0, control.Joined{Proxy: p})
-		w.homes[p] = 0
-	}
-	c.sendPlan(0, w)
-	if bound := c.bound(); bound < proxies {
-		t.Fatalf("%d of %d are bound at once", bound, proxies)
-	}
-	held := map[control.Backend]int{}
-	for _, r := range c.replicas {
-		for id := range r.tables[0].lines {
-			held[id] += len(r.streams)
-		}
-	}
-	if len(held) < 80 || held[w.lines(0)[0].backend] > 0 {
-		t.Errorf("%d of 100 endpoints are offered, the cold one to %d proxies", len(held), held[w.lines(0)[0].backend])
-	}
-	for id, n := range held {
-		if n > proxies/4 {
-			t.Errorf("%s is offered to %d of %d proxies", id, n, proxies)
-		}
-	}
-	for at := second; at < 200*second; at += second {
-		c.answerAll()
-		c.sendPlan(at, w)
-	}
-	for _, r := range c.replicas {
-		if n := len(r.tables[0].lines); n != 100 {
-			t.Errorf("a table has %d lines in the end", n)
-		}
-	}
-}
