What waits for proxies that have left no longer counts as queued

Why this holds: only messages to connected proxies are in the channel, and they count until they are acknowledged, so the estimate cannot fall below what waits.

--- a/policy/budget.go
+++ b/policy/budget.go
@@ -50,19 +50,19 @@
 	a.any = true
 }
 
-// queuedLines estimates the lines in the channel from the acknowledgements, and drops overdue messages to disconnected
-// proxies. Messages to different proxies can overtake each other by seconds; but one that has been in flight for much
-// longer than any that was acknowledged lately no longer counts: its proxy has stopped responding, or has disconnected,
-// and will never acknowledge it. Whatever the latencies, and where nothing was ever acknowledged, a message counts for
-// messageExpiry at most.
+// queuedLines estimates the lines in the channel from the acknowledgements, and drops overdue messages of a failed
+// instance. Messages to different proxies can overtake each other by seconds: what waits for a proxy that disconnects is
+// dropped, and only later messages take its place. But one that has been in flight for much longer than any that was
+// acknowledged lately no longer counts: its proxy has stopped responding and will never acknowledge it. Whatever the
+// latencies, and where nothing was ever acknowledged, a message counts for messageExpiry at most.
 func (c *channel) queuedLines(now micros) (lines float64) {
 	longest := c.acks.longest()
 	overdue := func(m pendingMessage) bool {
 		age := now - m.sentAt
 		return c.acks.any && age > longest+longest/overdueLatencyDivisor+overduePeriods*c.reportPeriod || age > messageExpiry
 	}
-	c.departed = slices.DeleteFunc(c.departed, overdue)
-	for _, m := range c.departed {
+	c.inherited = slices.DeleteFunc(c.inherited, overdue)
+	for _, m := range c.inherited {
 		lines += m.lines
 	}
 	for _, s := range c.streams {
--- a/policy/channel.go
+++ b/policy/channel.go
@@ -33,7 +33,7 @@
 	turns          turnState
 	acks           ackLatencies
 	lastAckID      policyapi.AckID
-	departed       []pendingMessage               // to proxies that have disconnected since: they still take up the queue
+	inherited      []pendingMessage               // of a failed instance: they still take up the queue
 	inheritedSends map[policyapi.ProxyID][]micros // times of a failed instance's messages to streams that persist
 }
 
@@ -88,13 +88,13 @@
 	}
 }
 
-// disconnect drops a stream, but not the messages to it that are still in the channel.
+// disconnect drops a stream. The channel drops the messages that wait for its proxy, so that they no longer take up the
+// queue: counting them would hold back the orders to the proxies that stay.
 func (c *channel) disconnect(id policyapi.ProxyID) {
 	s := c.streams[id]
 	if s == nil {
 		return
 	}
-	c.departed = append(c.departed, s.unacknowledged...)
 	s.unbind()
 	delete(c.streams, id)
 }
@@ -112,11 +112,11 @@
 // takeOver takes over the record of what a failed instance had sent: those messages still take up the queue, and count
 // against the message limits of the streams that persist.
 func (c *channel) takeOver(failed *channel) {
-	c.departed = slices.Clone(failed.departed)
+	c.inherited = slices.Clone(failed.inherited)
 	c.inheritedSends = map[policyapi.ProxyID][]micros{}
 	for _, id := range slices.Sorted(maps.Keys(failed.streams)) {
 		s := failed.streams[id]
-		c.departed = append(c.departed, s.unacknowledged...)
+		c.inherited = append(c.inherited, s.unacknowledged...)
 		c.inheritedSends[id] = s.sentAt
 	}
 	c.acks = failed.acks
