The queue is filled only as far as keeps the channel busy

Cause: bindShare and withdrawalShare (policy/delivery.go) let bindings and removals fill the queue to eight and nine tenths of its limit, 11 s of the channel. What is queued cannot be overtaken by what is more urgent, and is lost if its proxy moves on.

Change: policy/window.go bounds bindings, routine and removals by the time until acknowledgements arrive, from the settings of the channel. Why it holds: the channel stays busy, so nothing leaves later than before; what waits outside is chosen by urgency at each turn; where acknowledgements stay away, required changes get their old shares after a quarter of the grace period.

--- a/policy/budget.go
+++ b/policy/budget.go
@@ -114,12 +114,12 @@
 	}
 }
 
-// linesThatFit returns how many lines can be sent to each of some proxies without using more than a share of the queue.
-func (c *channel) linesThatFit(streams []*stream, share float64) int {
+// linesThatFit returns how many lines can be sent to each of some proxies with no more lines than a limit in the queue.
+func (c *channel) linesThatFit(streams []*stream, limit float64) int {
 	if len(streams) == 0 {
 		return math.MaxInt
 	}
-	free := share*c.queueLimit - c.turns.queued
+	free := limit - c.turns.queued
 	for _, s := range streams {
 		if s.turnLines == 0 {
 			free -= c.messageLines()
--- a/policy/channel.go
+++ b/policy/channel.go
@@ -14,6 +14,8 @@
 	messageLimit     int     // messages to one proxy within messageWindow; 0: no limit
 	messageWindow    micros
 	reportPeriod     micros
+	linesPerSecond   float64              // that the channel carries; 0: unknown
+	maxLatency       micros               // of a message, after the channel has carried it
 	drainGracePeriod micros               // within which a withdrawn endpoint has to be out of all tables
 	classSets        []policyapi.ClassSet // of the placements: a replica has a table for each, in this order
 }
--- a/policy/delivery.go
+++ b/policy/delivery.go
@@ -91,7 +91,7 @@
 	idle := now - c.turns.linesSentAt
 	t.routine = idle >= interval && (c.messageLimit == 0 || sent < limit)
 	if t.routine {
-		t.routineLimit = routineShare * c.queueLimit
+		t.routineLimit = c.routineLimit()
 	}
 	t.removals = idle >= t.removalDelay
 	return t
@@ -123,7 +123,7 @@
 	if r.removedAt == t.now { // leave a part of the queue for the next removal
 		share = fullChangeShare
 	}
-	if c.turns.queued >= t.routineLimit || c.linesThatFit(r.streams, share) < change.size() {
+	if c.turns.queued >= t.routineLimit || c.linesThatFit(r.streams, share*c.queueLimit) < change.size() {
 		return false
 	}
 	c.turns.nextTable = r.table(set) + 1
@@ -137,7 +137,7 @@
 func (c *channel) sendAdmission(t turn) {
 	streams := slices.Collect(maps.Values(c.streams))
 	for _, a := range c.target.admissions {
-		if c.turns.queued >= t.routineLimit || c.admissions[a.Classes] == a || c.linesThatFit(streams, withdrawalShare) <= 0 {
+		if c.turns.queued >= t.routineLimit || c.admissions[a.Classes] == a || c.linesThatFit(streams, withdrawalShare*c.queueLimit) <= 0 {
 			continue
 		}
 		c.admissions[a.Classes] = a
--- a/policy/removal.go
+++ b/policy/removal.go
@@ -87,17 +87,18 @@
 		return true
 	}
 	r.removedAt = now
-	share := fullChangeShare // updates are not urgent: they leave a part of the queue for the next removal
+	limit := c.requiredLimit(now, cmp.Or(r.withdrawalSince, now), removalWindows, withdrawalShare)
+	fullLimit := min(limit, fullChangeShare*c.queueLimit) // updates are not urgent: they leave a part of the queue for the next removal
 	if change.replaces {
-		share = withdrawalShare
+		fullLimit = limit
 	}
-	if c.linesThatFit(r.streams, share) >= change.size() {
+	if c.linesThatFit(r.streams, fullLimit) >= change.size() {
 		c.charge(now, r.streams, float64(change.size()))
 		c.orderAdmission(r, set, change)
 		c.orderLines(r, set, slices.Concat(losses, change.updated))
 		return true
 	}
-	fit := min(len(losses), c.linesThatFit(r.streams, withdrawalShare))
+	fit := min(len(losses), c.linesThatFit(r.streams, limit))
 	if fit <= 0 {
 		return false
 	}
@@ -139,7 +140,7 @@
 	const reserved = true // the binding takes the place of removals
 	var fresh *replica
 	for _, s := range slices.Clone(r.streams) {
-		if r.withdrawalSince == 0 || c.messageLimitReached(s, reserved) || !c.bindingFits(r, withdrawalShare) {
+		if r.withdrawalSince == 0 || c.messageLimitReached(s, reserved) || !c.bindingFits(r, withdrawalShare*c.queueLimit) {
 			continue
 		}
 		if fresh == nil {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -23,6 +23,8 @@
 	reportPeriod     micros
 	latencyObjective micros // mean over the classes
 	messageOverhead  float64
+	linesPerSecond   float64 // of the channel
+	maxLatency       micros  // of a message, after the channel has carried it
 	pollsList        bool
 	seed             uint64
 }
@@ -40,6 +42,8 @@
 		reportLineLimit: start.Reports.MaxLinesPerSecond,
 		reportPeriod:    max(start.Reports.Period, minReportPeriod),
 		messageOverhead: start.Channel.MessageOverhead,
+		linesPerSecond:  start.Channel.LinesPerSecond,
+		maxLatency:      start.Channel.MaxLatency,
 		pollsList:       start.PollsList,
 		seed:            start.Seed,
 	}
@@ -58,6 +62,8 @@
 		messageWindow:    s.rules.MessageWindow,
 		reportPeriod:     s.reportPeriod,
 		drainGracePeriod: s.rules.DrainGracePeriod,
+		linesPerSecond:   s.linesPerSecond,
+		maxLatency:       s.maxLatency,
 	}
 	for _, placement := range s.placements {
 		d.classSets = append(d.classSets, placement.classes)
--- a/policy/streams.go
+++ b/policy/streams.go
@@ -65,24 +65,32 @@
 // bindPlanned binds a proxy to its planned tables if they fit into the queue. It returns false if the binding has to wait
 // for the queue. A proxy that has reached its message limit returns true: others need not wait for it.
 func (c *channel) bindPlanned(s *stream) bool {
-	r := c.replicaFor(c.target.proxyGroups[s.proxy])
 	if c.messageLimitReached(s, s.replica == nil) {
 		return true
 	}
-	if !c.bindingFits(r, bindShare) {
+	limit := c.requiredLimit(c.turns.deliveredAt, s.connectedAt, 1, bindShare)
+	if c.turns.queued+c.messageLines() >= limit {
+		return false
+	}
+	r := c.replicaFor(c.target.proxyGroups[s.proxy])
+	if !c.bindingFits(r, limit) {
 		return false
 	}
 	c.bind(s, r)
 	return true
 }
 
-// bindingFits reports whether binding a proxy to a replica's tables keeps the queue below a share of its limit.
-func (c *channel) bindingFits(r *replica, share float64) bool {
-	return c.turns.queued+c.messageLines()+c.bindCost(r) < share*c.queueLimit
+// bindingFits reports whether binding a proxy to a replica's tables keeps the queue below a limit. A binding that is
+// larger than a window fits while nothing waits.
+func (c *channel) bindingFits(r *replica, limit float64) bool {
+	if c.turns.queued == 0 {
+		limit = bindShare * c.queueLimit
+	}
+	return c.turns.queued+c.messageLines()+c.bindCost(r) < limit
 }
 
-// replicaFor returns the replica of a group that a further proxy is to be bound to: the one with the fewest proxies, or a
-// new one if a line to one proxy more would exceed replicaLineShare of the queue.
+// replicaFor returns the replica of a group that a further proxy is to be bound to: the one with the fewest
+// proxies, or a new one if that is full.
 func (c *channel) replicaFor(group groupID) *replica {
 	var least *replica
 	for _, r := range c.replicas {
@@ -90,28 +98,34 @@
 			least = r
 		}
 	}
-	line := c.messageLines() + 1 // to one proxy
-	if least == nil || float64(len(least.streams)+1)*line > max(replicaLineShare*c.queueLimit, line) {
+	if least == nil || c.isFull(least) {
 		return c.addReplica(group)
 	}
 	return least
 }
 
-// newStreams returns the streams that are not bound yet.
+// isFull reports whether a line to one proxy more would take too much of the queue.
+func (c *channel) isFull(r *replica) bool {
+	line := c.messageLines() + 1 // to one proxy
+	limit := min(replicaLineShare*c.queueLimit, replicaWindowShare*c.windowLines())
+	return float64(len(r.streams)+1)*line > max(limit, line)
+}
+
+// newStreams returns the streams that are not bound yet, in the order in which they connected.
 func (c *channel) newStreams() []*stream {
-	return slices.DeleteFunc(c.streamsToBind(), func(s *stream) bool { return s.replica != nil })
+	return c.selectStreams(func(s *stream, _ groupID) bool { return s.replica == nil })
 }
 
-// misplacedStreams returns the streams that are bound to other tables than planned.
+// misplacedStreams returns the streams that are bound to other tables than planned, in the order in which they connected.
 func (c *channel) misplacedStreams() []*stream {
-	return slices.DeleteFunc(c.streamsToBind(), func(s *stream) bool { return s.replica == nil })
+	return c.selectStreams(func(s *stream, group groupID) bool { return s.replica != nil && s.replica.group != group })
 }
 
-// streamsToBind returns the streams that are not bound as planned, in the order in which they connected.
-func (c *channel) streamsToBind() (streams []*stream) {
+// selectStreams returns streams of planned proxies in the order in which they connected.
+func (c *channel) selectStreams(selected func(*stream, groupID) bool) (streams []*stream) {
 	for _, s := range c.streams {
 		group, planned := c.target.proxyGroups[s.proxy]
-		if planned && (s.replica == nil || s.replica.group != group) {
+		if planned && selected(s, group) {
 			streams = append(streams, s)
 		}
 	}
--- /dev/null
+++ b/policy/window.go
@@ -0,0 +1,40 @@
+package policy
+
+import "math"
+
+const (
+	// windowLatencies and windowSlack are the length of the window: the time until an acknowledgement, of as many
+	// longest latencies, and the longest pause between two turns.
+	windowLatencies = 2
+	windowSlack     = second / 2
+	// removalWindows are the windows that removals may fill.
+	removalWindows = 1.5
+	// windowGraceDivisor divides the drain grace period: a required change that has waited for longer may use more than
+	// the window.
+	windowGraceDivisor = 4
+	// replicaWindowShare is the share of the window for a line to all proxies that share a replica.
+	replicaWindowShare = 0.125
+)
+
+// windowLines is the number of lines in the queue that keep the channel busy until acknowledgements make room for more.
+// What waits beyond it arrives late, cannot be overtaken by what is more urgent, and is lost if its proxy disconnects.
+// It is unlimited where the channel's throughput is unknown.
+func (c *channel) windowLines() float64 {
+	if c.linesPerSecond <= 0 {
+		return math.Inf(1)
+	}
+	return c.linesPerSecond * float64(windowLatencies*c.maxLatency+windowSlack) / float64(second)
+}
+
+// routineLimit is the number of lines in the queue up to which routine changes may fill it.
+func (c *channel) routineLimit() float64 { return min(routineShare*c.queueLimit, c.windowLines()) }
+
+// requiredLimit is the number of lines in the queue up to which a change that the rules require may fill it: some
+// windows, or a share of the limit once the change has waited for a part of the grace period, as it does where the
+// channel is slower than stated.
+func (c *channel) requiredLimit(now, since micros, windows, share float64) float64 {
+	if now-since > c.drainGracePeriod/windowGraceDivisor {
+		return share * c.queueLimit
+	}
+	return min(share*c.queueLimit, windows*c.windowLines())
+}
--- a/proxyproto/fleetmodel_test.go
+++ b/proxyproto/fleetmodel_test.go
@@ -296,7 +296,7 @@
 }
 
 // dropWaiting removes from the channel what waits for a proxy that has disconnected. Later messages take its place, those that wait
-// already keep their time: traces of acknowledgements on the simulated days show both to within 20 ms.
+// already keep their time: a trace of acknowledgements on a simulated day shows both.
 func (m *fleetModel) dropWaiting(p *connectedProxy) {
 	m.inQueue = slices.DeleteFunc(m.inQueue, func(q queued) bool {
 		if q.proxy != p || q.leavesAt <= m.now {
