In a crowd new proxies get subset tables first

Cause: bindPlanned (policy/streams.go) gives each new proxy the complete tables of its group. 1,800 of them are 126,000 lines, 19 s of the channel, where the grace period is 11.1 s: no order can keep the rule.

While complete tables for all take longer than a quarter of the grace period, a proxy with another coordinator's tables is bound to eight lines of warmed-up endpoints that replace what it brought; subsets share a group's endpoints evenly. Complete tables follow as routine. Proxies that have only their default table, which is as small, wait for the complete one.

--- a/policy/channel.go
+++ b/policy/channel.go
@@ -45,6 +45,7 @@
 	linesSentAt micros            // when lines of tables or levels last went out
 	retryAt     micros            // when pending removals are sent again; 0: there are none
 	queued      float64           // lines in the queue, counted during a turn
+	crowded     bool              // too many new proxies wait for all to get complete tables in time
 	tablesFirst bool              // a table change had to wait: the next turn sends tables before levels
 	nextTable   policyapi.TableID // where the next turn starts, so that all tables are served
 }
@@ -79,7 +80,12 @@
 	switch event := event.(type) {
 	case policyapi.ProxyConnected:
 		c.disconnect(event.Proxy) // the new stream may come before the old one's end
-		c.streams[event.Proxy] = &stream{proxy: event.Proxy, connectedAt: now, sentAt: c.inheritedSends[event.Proxy]}
+		c.streams[event.Proxy] = &stream{
+			proxy:               event.Proxy,
+			connectedAt:         now,
+			hasDefaultTableOnly: event.HasDefaultTableOnly,
+			sentAt:              c.inheritedSends[event.Proxy],
+		}
 		delete(c.inheritedSends, event.Proxy)
 	case policyapi.ProxyDisconnected:
 		c.disconnect(event.Proxy)
--- a/policy/delivery.go
+++ b/policy/delivery.go
@@ -65,6 +65,7 @@
 		for _, s := range c.misplacedStreams() {
 			c.bindPlanned(s)
 		}
+		c.widenSubsets(t)
 	}
 	c.finishTurn(now)
 	if pending && now >= c.turns.retryAt {
--- a/policy/diff.go
+++ b/policy/diff.go
@@ -45,7 +45,7 @@
 	plan, table := plans[set], r.tables[set]
 	wanted := map[policyapi.EndpointID]bool{}
 	var heaviestNew tableLine
-	for _, line := range plan.lines {
+	for _, line := range c.plannedLines(r, set) {
 		wanted[line.endpoint] = true
 		sent := table.lines[line.endpoint]
 		if withinThreshold(line.weight, sent) {
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -96,8 +96,9 @@
 
 // tablePlan is what a table should contain. A plan without lines means an empty table.
 type tablePlan struct {
-	lines []tableLine
-	level float64 // requests per second that each proxy may admit of each class
+	lines            []tableLine
+	subsetCandidates []tableLine // those of warmed-up endpoints
+	level            float64     // requests per second that each proxy may admit of each class
 }
 
 // tableLine is the weight of an endpoint in a table, relative to the mean of the fleet.
--- a/policy/removal.go
+++ b/policy/removal.go
@@ -23,6 +23,7 @@
 			pending = true
 		}
 	}
+	c.turns.crowded = c.isCrowded()
 	for _, s := range c.newStreams() {
 		if !c.bindPlanned(s) {
 			pending = true
@@ -144,7 +145,7 @@
 			continue
 		}
 		if fresh == nil {
-			fresh = c.addReplica(r.group)
+			fresh = c.addReplica(r.group, r.subset)
 		}
 		c.bind(s, fresh)
 	}
--- a/policy/replica.go
+++ b/policy/replica.go
@@ -16,6 +16,7 @@
 // that share a replica takes no more than a part of the queue.
 type replica struct {
 	group           groupID
+	subset          int // 0: the tables are complete; else which subset of the group's endpoints they have
 	firstTable      policyapi.TableID
 	tables          []tableState // by placement
 	streams         []*stream    // bound to it, in the order of binding
@@ -34,15 +35,16 @@
 	pending      tableChange            // by which the table differs from the target state
 }
 
-// addReplica creates a replica of a group's tables. Its lines cost nothing until a proxy is bound to it.
-func (c *channel) addReplica(group groupID) *replica {
+// addReplica creates a replica of a group's tables, or of a subset of them. Its lines cost nothing until a proxy is bound
+// to it.
+func (c *channel) addReplica(group groupID, subset int) *replica {
 	sets := len(c.classSets)
-	r := &replica{group: group, firstTable: policyapi.TableID(int(group) * sets), tables: make([]tableState, sets)}
+	r := &replica{group: group, subset: subset, firstTable: policyapi.TableID(int(group) * sets), tables: make([]tableState, sets)}
 	for set := range r.tables {
 		r.tables[set].lines = map[policyapi.EndpointID]float64{}
 	}
 	at, taken := c.replicaPosition(r.firstTable)
-	if taken || r.firstTable >= firstExtraTable {
+	if taken || subset > 0 || r.firstTable >= firstExtraTable {
 		r.firstTable = firstExtraTable
 		for at, taken = c.replicaPosition(r.firstTable); taken; at, taken = c.replicaPosition(r.firstTable) {
 			r.firstTable += policyapi.TableID(sets)
@@ -75,7 +77,7 @@
 	present := c.dropReplicas()
 	for _, group := range slices.Sorted(maps.Keys(c.target.tables)) {
 		if !present[group] {
-			c.addReplica(group)
+			c.addReplica(group, 0)
 		}
 	}
 	for _, r := range c.replicas {
@@ -89,17 +91,18 @@
 	}
 }
 
-// dropReplicas drops the replicas that no proxy is bound to, except for one of each planned group. It returns the groups
-// that have a replica.
+// dropReplicas drops the replicas that no proxy is bound to, except for a complete one of each planned group. It returns
+// the groups that have a complete replica.
 func (c *channel) dropReplicas() (present map[groupID]bool) {
 	present = map[groupID]bool{}
 	for _, r := range c.replicas {
-		present[r.group] = present[r.group] || len(r.streams) > 0
+		present[r.group] = present[r.group] || r.subset == 0 && len(r.streams) > 0
 	}
 	c.replicas = slices.DeleteFunc(c.replicas, func(r *replica) bool {
 		_, planned := c.target.tables[r.group]
-		if len(r.streams) > 0 || planned && !present[r.group] {
-			present[r.group] = true
+		isOnly := planned && r.subset == 0 && !present[r.group]
+		if len(r.streams) > 0 || isOnly {
+			present[r.group] = present[r.group] || isOnly
 			return false
 		}
 		for set := range r.tables {
--- a/policy/streams.go
+++ b/policy/streams.go
@@ -13,12 +13,13 @@
 
 // stream is the channel's state of one connected proxy.
 type stream struct {
-	proxy          policyapi.ProxyID
-	connectedAt    micros
-	replica        *replica         // nil: not bound, the proxy uses its default table
-	sentAt         []micros         // times of the messages in the message window
-	unacknowledged []pendingMessage // the oldest first
-	turnLines      float64          // lines of the present turn
+	proxy               policyapi.ProxyID
+	connectedAt         micros
+	replica             *replica         // nil: not bound, the proxy uses its default table
+	hasDefaultTableOnly bool             // it connected with no table but its default one
+	sentAt              []micros         // times of the messages in the message window
+	unacknowledged      []pendingMessage // the oldest first
+	turnLines           float64          // lines of the present turn
 }
 
 // pendingMessage is a message that has not been acknowledged.
@@ -72,7 +73,7 @@
 	if c.turns.queued+c.messageLines() >= limit {
 		return false
 	}
-	r := c.replicaFor(c.target.proxyGroups[s.proxy])
+	r := c.replicaForBinding(s)
 	if !c.bindingFits(r, limit) {
 		return false
 	}
@@ -80,6 +81,16 @@
 	return true
 }
 
+// replicaForBinding returns the replica that a proxy is to be bound to. In a crowd new proxies first get subset tables:
+// complete ones for all of them would take the channel longer than the drain grace period, in any order.
+func (c *channel) replicaForBinding(s *stream) *replica {
+	group := c.target.proxyGroups[s.proxy]
+	if s.replica == nil && !s.hasDefaultTableOnly && c.turns.crowded {
+		return c.subsetReplicaFor(group)
+	}
+	return c.replicaFor(group)
+}
+
 // bindingFits reports whether binding a proxy to a replica's tables keeps the queue below a limit. A binding that is
 // larger than a window fits while nothing waits.
 func (c *channel) bindingFits(r *replica, limit float64) bool {
@@ -89,17 +100,17 @@
 	return c.turns.queued+c.messageLines()+c.bindCost(r) < limit
 }
 
-// replicaFor returns the replica of a group that a further proxy is to be bound to: the one with the fewest
+// replicaFor returns the complete replica of a group that a further proxy is to be bound to: the one with the fewest
 // proxies, or a new one if that is full.
 func (c *channel) replicaFor(group groupID) *replica {
 	var least *replica
 	for _, r := range c.replicas {
-		if r.group == group && (least == nil || len(r.streams) < len(least.streams)) {
+		if r.group == group && r.subset == 0 && (least == nil || len(r.streams) < len(least.streams)) {
 			least = r
 		}
 	}
 	if least == nil || c.isFull(least) {
-		return c.addReplica(group)
+		return c.addReplica(group, 0)
 	}
 	return least
 }
--- a/policy/weights.go
+++ b/policy/weights.go
@@ -38,7 +38,11 @@
 	in := &tableInputs{fleet, p.zoneSpillover(fleet), map[policyapi.EndpointID]float64{}}
 	add := func(id groupID, placement classPlacement, g group) []tableLine {
 		lines := p.buildTable(in, placement, g)
-		target.tables[id] = append(target.tables[id], tablePlan{lines, p.warmUpAdmission(g, placement, lines)})
+		target.tables[id] = append(target.tables[id], tablePlan{
+			lines:            lines,
+			subsetCandidates: p.warmedUp(lines),
+			level:            p.warmUpAdmission(g, placement, lines),
+		})
 		return lines
 	}
 	for _, placement := range p.settings.placements {
@@ -129,6 +133,16 @@
 	return heaviest(lines, p.maxTableLines)
 }
 
+// warmedUp returns the lines of endpoints that are not in slow start.
+func (p *planner) warmedUp(lines []tableLine) (warm []tableLine) {
+	for _, line := range lines {
+		if p.endpoints[line.endpoint].slowStartFactor >= 1 {
+			warm = append(warm, line)
+		}
+	}
+	return warm
+}
+
 // mayServe reports whether a placement's requests from a zone's proxies may go to an endpoint.
 func (p *planner) mayServe(e fleetEndpoint, placement classPlacement, zone int) bool {
 	return e.ready && e.zone >= 0 && (!placement.localZoneOnly || e.zone == zone) &&
