An emulated process keeps its address while it is dead

Eight processes of it side by side failed 34 of 480 times on the code before: a killed endpoint answered, 22 times 502, 7 times 200.

Cause: Endpoint.Kill gave the port up, and the kernel gave it to an endpoint of another process.

Change: emulator.Address holds it by a socket that is bound and does not listen; endpoints and gateways listen there again. Tests of cmd/porthub and proxyserver hold the free addresses that they hand out. Why it holds: the kernel gives a bound port to nobody who asks for any, and refuses connections to it at once.

--- a/cmd/porthub/nodeprocess_test.go
+++ b/cmd/porthub/nodeprocess_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"porthub/emulator"
 	"porthub/proxyproto"
 	"porthub/resp"
 )
@@ -54,14 +55,14 @@
 	log                 *os.File
 }
 
-// freeAddress returns an address without a listener.
+// freeAddress returns an address without a listener, which no other process is given until the test ends.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := emulator.NewAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(address.Release)
+	return address.String()
 }
 
 // hostEntries returns so many entries of an endpoint list: s-0, s-1 and so on.
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -28,8 +28,9 @@
 // the same address; it warms up then. It is safe for concurrent use.
 type Endpoint struct {
 	EndpointOptions
-	Addr  string
-	world *World
+	Addr    string
+	address *Address // held while the process is dead, too
+	world   *World
 
 	mu      sync.Mutex // guards all below
 	rng     *rand.Rand
@@ -95,11 +96,15 @@
 func NewEndpoint(w *World, o EndpointOptions) (*Endpoint, error) {
 	e := &Endpoint{EndpointOptions: o, world: w, rng: w.Rand("node " + o.Name), startedAt: -time.Hour, resumed: make(chan struct{})}
 	close(e.resumed)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	if e.address, err = NewAddress(); err != nil {
+		return nil, err
+	}
+	listener, err := e.address.Listen()
 	if err != nil {
 		return nil, err
 	}
-	e.Addr = listener.Addr().String()
+	e.Addr = e.address.String()
 	e.serve(listener)
 	w.Log.EndpointStarted(w.Now(), e.Addr, o.Cores, false)
 	return e, nil
@@ -143,7 +148,7 @@
 	}
 }
 
-// Kill ends the process at once: connections break, work is lost.
+// Kill ends the process at once: connections break, work is lost. New connections are refused: the address stays its own.
 func (e *Endpoint) Kill() {
 	e.mu.Lock()
 	running := e.running
@@ -173,7 +178,7 @@
 	if e.running {
 		return nil
 	}
-	listener, err := listenAtSameAddress(e.Addr)
+	listener, err := e.address.Listen()
 	if err != nil {
 		return fmt.Errorf("endpoint %s: %w", e.Addr, err)
 	}
@@ -186,24 +191,6 @@
 	return nil
 }
 
-// listenAtSameAddress listens at an address that a killed process may still be releasing.
-func listenAtSameAddress(addr string) (net.Listener, error) {
-	const (
-		attempts = 50
-		delay    = 10 * time.Millisecond
-	)
-	var failure error
-	for range attempts {
-		listener, err := net.Listen("tcp", addr)
-		if err == nil {
-			return listener, nil
-		}
-		failure = err
-		time.Sleep(delay)
-	}
-	return nil, failure
-}
-
 // warmingUp reports whether the endpoint is not at its full capacity yet.
 func (e *Endpoint) warmingUp(at time.Duration) bool {
 	return e.warmsUp && at-e.startedAt < e.world.Rules.WarmUp
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -44,9 +43,10 @@
 // round robin and forwards. Its process can be killed and started again. It is safe for concurrent use.
 type Gateway struct {
 	GatewayOptions
-	Addr  string
-	world *World
-	http  *http.Client
+	Addr    string
+	address *Address // held while the process is dead, too; nil until the first start
+	world   *World
+	http    *http.Client
 
 	// Corrupt changes each table before it is used, and AlwaysRetry makes the gateway retry what must not be retried:
 	// so that tests can check that the audit detects it. Both must be set before Start.
@@ -90,13 +90,20 @@
 
 // Start starts the process with an initial table from the list. Kill must be called to end its goroutines.
 func (g *Gateway) Start() error {
-	listener, err := net.Listen("tcp", cmp.Or(g.Addr, "127.0.0.1:0"))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.address == nil {
+		address, err := NewAddress()
+		if err != nil {
+			return err
+		}
+		g.address = address
+	}
+	listener, err := g.address.Listen()
 	if err != nil {
 		return err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.Addr = listener.Addr().String()
+	g.Addr = g.address.String()
 	g.running = true
 	g.tables = client.Tables{Snapshot: g.initialTable()}
 	g.balancer = newBalancer()
--- a/proxyserver/coordinator_test.go
+++ b/proxyserver/coordinator_test.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
 
+	"porthub/emulator"
 	"porthub/healthcheck"
 	"porthub/policyapi"
 	"porthub/proxyproto"
@@ -143,13 +144,13 @@
 
 // Proxies dial repeatedly while the coordinator starts: each connection is served, none is accepted and then reset.
 func TestDialDuringStartIsNotReset(t *testing.T) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := emulator.NewAddress() // held, so that no other process listens there between two starts
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(free.Release)
 	cfg := testConfig(t, "127.0.0.1:1", 256)
-	cfg.Listen = free.Addr().String()
-	_ = free.Close()
+	cfg.Listen = free.String()
 	for start := range 500 {
 		began, results := make(chan struct{}, 4), make(chan error, 4)
 		for range cap(results) {
