A start without zones no longer panics

Seen: a deployment that names no zones panics with the first list, the restarted module too, and the program ends. Cause: divideZones (policy/groups.go) divides by the number of zones. Why the mend holds: the divisor is one at least, and no group exists without a zone. TestStartWithoutZones panicked before (integer divide by zero) and passes.

--- a/policy/groups.go
+++ b/policy/groups.go
@@ -128,7 +128,8 @@
 // move them all there when connections are scarcest.
 func (p *planner) divideZones(fleet []fleetEndpoint) {
 	s := p.settings
-	pairs := float64(s.proxyCount*len(s.classes)/s.instanceCount + len(fleet)/len(s.zones))
+	perZoneEndpoints := len(fleet) / max(1, len(s.zones)) // a deployment may name no zones
+	pairs := float64(s.proxyCount*len(s.classes)/s.instanceCount + perZoneEndpoints)
 	size := max(minGroupSize, int(math.Ceil(groupReportSeconds*pairs/max(1, s.reportLineLimit))))
 	count := make([]int, len(s.zones))
 	for _, e := range fleet {
--- a/policy/groups_test.go
+++ b/policy/groups_test.go
@@ -109,3 +109,15 @@
 	h.t.Fatalf("there is no table %d", table)
 	return 0
 }
+
+// A deployment names no zones: endpoints and proxies belong to none, so no proxy is sent a table. (Regression: dividing the
+// zones into groups panicked with a division by zero, with the first list.)
+func TestStartWithoutZones(t *testing.T) {
+	h := newHost(t, func(start *policyapi.Start) { start.Zones = nil })
+	h.step(policyapi.EndpointUpdate{Kind: policyapi.Snapshot, Endpoints: readyEndpoints("a", "a1", "a2")})
+	h.step(policyapi.ProxyConnected{Proxy: 1, Zone: "a", Weight: 2})
+	h.advance(3*second, nil)
+	if len(h.binds) > 0 {
+		t.Errorf("proxies are bound: %v", h.binds)
+	}
+}
