A demand without a wanted table no longer makes the solver panic

Seen: index out of range in wantedTable (solver/tables.go) as soon as solutions apply, for a consumer with fewer wanted tables than classes, which Fleet.Check allows. Cause: loadWanted passes such classes over, wantedTable did not. Why the mend holds: a table that is not wanted is an empty one, as everywhere else in the package. TestActivationWithoutWantedTable panicked before and passes.

--- a/solver/activation_test.go
+++ b/solver/activation_test.go
@@ -64,3 +64,18 @@
 		t.Error("inactive while a table names an endpoint that fails the class")
 	}
 }
+
+// A consumer has demand of a class that it wants no table for, which Check allows: the solution gives it one. (Regression:
+// comparing it with the table that is not there panicked once solutions were active.)
+func TestActivationWithoutWantedTable(t *testing.T) {
+	f := evenFleet([]float64{10, 10, 4}, 8, 8)
+	f.Consumers[1].Wanted = nil
+	if err := f.Check(); err != nil {
+		t.Fatal(err)
+	}
+	f.Endpoints[2].Failing = []bool{true} // and in the table of the first: solutions apply at once
+	round := solver.NewActivation().Step(f, false)
+	if table := round.Tables[solver.TableKey{Consumer: f.Consumers[1].Name}]; !round.Active || len(table.Weights) == 0 {
+		t.Errorf("active %t, tables %v", round.Active, round.Tables)
+	}
+}
--- a/solver/tables.go
+++ b/solver/tables.go
@@ -89,6 +89,9 @@
 
 func wantedTable(f Fleet, consumer *Consumer, class int) Table {
 	table := Table{Weights: map[string]float64{}, Admit: 1}
+	if class >= len(consumer.Wanted) {
+		return table // it wants none
+	}
 	total := 0.0
 	for _, share := range consumer.Wanted[class] {
 		total += share.Weight
