--- a/proxyserver/snapshot_test.go
+++ b/proxyserver/snapshot_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// The decision module fails while a snapshot is due for an entry that could not be read: the snapshot still arrives. (Regression: the
+// restart of the module canceled it, and nothing requested it again before the next list.)
+func TestSnapshotThatIsDueSurvivesModuleRestart(t *testing.T) {
+	discovery := newManualDiscovery(t)
+	coordinator, ctx := newSteppedCoordinator(t, discovery.address(), 256)
+	coordinator.watcher.startWatch(ctx, 0)
+	watch := discovery.nextCall(t, "/discovery/hosts?watch=1&from=41")
+	watch.accept(listMessage(42, false, `{"host":"s-2","site":"nowhere","health":"Ready"}`))
+	watch.sendHeartbeats(t)
+	acceptUntil(ctx, t, coordinator, "change", func(b []policyapi.Event) bool { return len(versions(b)) == 1 })
+	snapshot := discovery.nextCall(t, "/discovery/hosts")
+	coordinator.restartModule()
+	snapshot.accept(listMessage(43, true, hostEntry("s-4", "Ready")))
+	close(snapshot.lines)
+	acceptUntil(ctx, t, coordinator, "snapshot", func(b []policyapi.Event) bool { return slices.Contains(versions(b), 43) })
+}
+
 // Discovery restarts with lower versions: a snapshot is requested and accepted, and changes are watched from its version on.
 func TestDiscoveryVersionReset(t *testing.T) {
 	discovery := newManualDiscovery(t)
--- a/proxyserver/watcher.go
+++ b/proxyserver/watcher.go
@@ -93,12 +93,15 @@
 	w.enabled = false
 }
 
-// reset drops the requests of a decision module that has failed. If the module does not request changes, the open watch stays.
+// reset drops the requests of a decision module that has failed. If the module does not request changes, the open watch stays. A
+// snapshot that the watcher itself needs stays requested: no decision module asks for it.
 func (w *discoveryWatcher) reset() {
 	if w.settings.PollsList {
 		w.disable()
 	}
-	w.cancelSnapshot()
+	if !w.snapshotDue && !w.versionReset {
+		w.cancelSnapshot()
+	}
 }
 
 // setAddress changes the address of discovery and repeats pending calls there.
