Sums and queues go by sorted keys; reading the state changes nothing

Seen: the same inputs gave other outputs from run to run.

And a status line dropped overdue messages of a failed instance, so that looking changed what the next turn did.

Cause: loops over maps (xds/endpoint_delta.go, proxyproto/validator.go, solver/tables.go, coordinator/loadsignals.go, policy/state.go, budget.go, delivery.go), and State calling queuedLines, which dropped messages. Why the mend holds: each goes by sorted keys, and queuedLines only reads.

--- a/coordinator/loadsignals.go
+++ b/coordinator/loadsignals.go
@@ -150,11 +150,11 @@
 // offeredLoad is the demanded work divided by the capacity of the endpoints that serve a zone, or of all for the fleet's scope.
 func (c *Core) offeredLoad(scope policyapi.Zone, allocations map[policyapi.Zone][]allocation, capacity map[policyapi.EndpointID]float64) (load float64, ok bool) {
 	demand, admitted := 0.0, 0.0
-	for zone, byClass := range allocations {
+	for _, zone := range slices.Sorted(maps.Keys(allocations)) { // in order, so that a replay gets the same sums
 		if scope != degradation.FleetScope && zone != scope {
 			continue
 		}
-		for _, a := range byClass {
+		for _, a := range allocations[zone] {
 			demand += a.demand
 			admitted += a.admitted
 		}
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -50,31 +50,36 @@
 	a.any = true
 }
 
-// queuedLines estimates the lines in the channel from the acknowledgements, and drops overdue messages of a failed
-// instance. Messages to different proxies can overtake each other by seconds: what waits for a proxy that disconnects is
+// queuedLines estimates the lines in the channel from the acknowledgements. Messages to different proxies can overtake each other by seconds: what waits for a proxy that disconnects is
 // dropped, and only later messages take its place. But one that has been in flight for much longer than any that was
 // acknowledged lately no longer counts: its proxy has stopped responding and will never acknowledge it. Whatever the
 // latencies, and where nothing was ever acknowledged, a message counts for messageExpiry at most.
 func (c *channel) queuedLines(now micros) (lines float64) {
-	longest := c.acks.longest()
-	overdue := func(m pendingMessage) bool {
-		age := now - m.sentAt
-		return c.acks.any && age > longest+longest/overdueLatencyDivisor+overduePeriods*c.reportPeriod || age > messageExpiry
-	}
-	c.inherited = slices.DeleteFunc(c.inherited, overdue)
-	for _, m := range c.inherited {
-		lines += m.lines
-	}
-	for _, s := range c.streams {
-		for _, m := range s.unacknowledged {
-			if !overdue(m) {
+	add := func(messages []pendingMessage) {
+		for _, m := range messages {
+			if !c.isOverdue(now, m) {
 				lines += m.lines
 			}
 		}
 	}
+	add(c.inherited)
+	for _, s := range c.allStreams() {
+		add(s.unacknowledged)
+	}
 	return lines
 }
 
+// isOverdue reports whether a message has been in flight for too long to count as queued.
+func (c *channel) isOverdue(now micros, m pendingMessage) bool {
+	age, longest := now-m.sentAt, c.acks.longest()
+	return c.acks.any && age > longest+longest/overdueLatencyDivisor+overduePeriods*c.reportPeriod || age > messageExpiry
+}
+
+// dropOverdue drops the overdue messages of a failed instance.
+func (c *channel) dropOverdue(now micros) {
+	c.inherited = slices.DeleteFunc(c.inherited, func(m pendingMessage) bool { return c.isOverdue(now, m) })
+}
+
 // maxMessagesSent returns the most messages that one proxy was sent in the message window, and forgets older ones.
 func (c *channel) maxMessagesSent(now micros) (messages int) {
 	for _, s := range c.streams {
--- a/policy/delivery.go
+++ b/policy/delivery.go
@@ -49,6 +49,7 @@
 // queued until they are acknowledged, whatever the configured throughput, so that a slow channel limits itself.
 func (c *channel) deliver(now micros) {
 	c.turns.deliveredAt = now
+	c.dropOverdue(now)
 	c.turns.queued = c.queuedLines(now)
 	t := c.newTurn(now)
 	c.reconcileReplicas()
@@ -136,7 +137,7 @@
 
 // sendAdmission sends the levels for all tables that have changed, within the routine limit.
 func (c *channel) sendAdmission(t turn) {
-	streams := slices.Collect(maps.Values(c.streams))
+	streams := c.allStreams()
 	for _, a := range c.target.admissions {
 		if c.turns.queued >= t.routineLimit || c.admissions[a.Classes] == a || c.linesThatFit(streams, withdrawalShare*c.queueLimit) <= 0 {
 			continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // State is an instance's view of the fleet, for operators to compare with what the proxies do. Rates are in requests per
 // second.
@@ -23,7 +26,7 @@
 	QueuedRequests         int     // requests queued, as the endpoints report
 }
 
-// State returns the instance's view of the fleet as of the last Step. It changes nothing.
+// State returns the instance's view of the fleet as of the last Step. It changes nothing, and is the same each time.
 func (in *Instance) State() State {
 	pl, ch := in.planner, in.channel
 	s := State{
@@ -39,8 +42,8 @@
 	for _, stream := range ch.streams {
 		s.UnacknowledgedMessages += len(stream.unacknowledged)
 	}
-	for _, e := range pl.endpoints {
-		if e.ready {
+	for _, id := range slices.Sorted(maps.Keys(pl.endpoints)) {
+		if e := pl.endpoints[id]; e.ready {
 			s.addEndpoint(e)
 		}
 	}
--- a/policy/streams.go
+++ b/policy/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"porthub/policyapi"
@@ -122,6 +123,14 @@
 	return float64(len(r.streams)+1)*line > max(limit, line)
 }
 
+// allStreams returns the streams by proxy, in order, so that sums over them are the same each time.
+func (c *channel) allStreams() (streams []*stream) {
+	for _, id := range slices.Sorted(maps.Keys(c.streams)) {
+		streams = append(streams, c.streams[id])
+	}
+	return streams
+}
+
 // newStreams returns the streams that are not bound yet, in the order in which they connected.
 func (c *channel) newStreams() []*stream {
 	return c.selectStreams(func(s *stream, _ groupID) bool { return s.replica == nil })
--- a/proxyproto/validator.go
+++ b/proxyproto/validator.go
@@ -1,6 +1,7 @@
 package proxyproto
 
 import (
+	"maps"
 	"slices"
 
 	"porthub/policyapi"
@@ -55,8 +56,8 @@
 		}
 	}
 	if update.Kind == policyapi.Snapshot || update.Kind == policyapi.Cached {
-		for id, present := range v.endpoints {
-			if present && !listed[id] {
+		for _, id := range slices.Sorted(maps.Keys(v.endpoints)) { // in order, so that all forget the same ones
+			if v.endpoints[id] && !listed[id] {
 				v.markRemoved(id)
 			}
 		}
--- a/solver/activation_test.go
+++ b/solver/activation_test.go
@@ -1,7 +1,9 @@
 package solver_test
 
 import (
+	"maps"
 	"math"
+	"reflect"
 	"testing"
 
 	"porthub/solver"
@@ -79,3 +81,28 @@
 		t.Errorf("active %t, tables %v", round.Active, round.Tables)
 	}
 }
+
+// The same fleet moves the same tables, a thousand times. (Regression: the load that a table moves was added up in the order of a
+// map; of tables that gain as much, the last bits of the sum decided which moved.)
+func TestSameTablesAreMoved(t *testing.T) {
+	limits, demands := make([]float64, 30), make([]float64, 40)
+	for i := range limits {
+		limits[i] = 10 - float64(i%7)/3
+	}
+	for i := range demands {
+		demands[i] = 7
+	}
+	f := evenFleet(limits, demands...)
+	var want map[solver.TableKey]solver.Table
+	for range 1000 {
+		activation := solver.NewActivation()
+		activation.Step(f, false)
+		round := activation.Step(f, false)
+		if want == nil {
+			want = maps.Clone(round.Tables)
+		}
+		if len(round.Tables) == 0 || len(round.Tables) == len(demands) || !reflect.DeepEqual(round.Tables, want) {
+			t.Fatalf("%d tables have moved, others than with the same fleet before, or none is left", len(round.Tables))
+		}
+	}
+}
--- a/solver/tables.go
+++ b/solver/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -120,12 +121,12 @@
 // movedLoad returns the part of a table's load that moves from one table to another: half the sum of the weights'
 // differences.
 func movedLoad(from, to Table) (sum float64) {
-	for name, weight := range to.Weights {
-		sum += math.Abs(weight-from.Weights[name]) / 2
+	for _, name := range slices.Sorted(maps.Keys(to.Weights)) { // in order, so that the same tables give the same sum
+		sum += math.Abs(to.Weights[name]-from.Weights[name]) / 2
 	}
-	for name, weight := range from.Weights {
+	for _, name := range slices.Sorted(maps.Keys(from.Weights)) {
 		if _, ok := to.Weights[name]; !ok {
-			sum += weight / 2
+			sum += from.Weights[name] / 2
 		}
 	}
 	return sum
--- a/xds/endpoint_delta.go
+++ b/xds/endpoint_delta.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
@@ -54,7 +56,7 @@
 			response.Resources = append(response.Resources, resource)
 		}
 	}
-	for name := range from {
+	for _, name := range slices.Sorted(maps.Keys(from)) {
 		if !present[name] {
 			response.RemovedResources = append(response.RemovedResources, name)
 		}
