--- /dev/null
+++ b/knownred_test.go
@@ -0,0 +1,51 @@
+package porthub_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The list of known failures is read strictly: an entry that lacks a part, or names a test that does not exist or twice, is refused,
+// so that CI passes over nothing by accident. A subtest can be listed alone.
+func TestKnownRedIsReadStrictly(t *testing.T) {
+	const entry = " | go test . -run TestKnownRedIsReadStrictly, seed 1 | 3 findings | issue 7\n"
+	for name, c := range map[string]struct{ list, want string }{
+		"empty":       {"", ""},
+		"a test":      {"TestKnownRedIsReadStrictly" + entry, "^TestKnownRedIsReadStrictly$"},
+		"a subtest":   {"TestKnownRedIsReadStrictly/seed_2" + entry, "^TestKnownRedIsReadStrictly$/^seed_2$"},
+		"two":         {"TestKnownRedIsReadStrictly/1" + entry + "TestKnownRedIsReadStrictly/2" + entry, "^TestKnownRedIsReadStrictly$/^1$|^TestKnownRedIsReadStrictly$/^2$"},
+		"no command":  {"TestKnownRedIsReadStrictly |  | 3 findings | issue 7\n", "refused: lacks a part"},
+		"no finding":  {"TestKnownRedIsReadStrictly | go test . | | issue 7\n", "refused: lacks a part"},
+		"no issue":    {"TestKnownRedIsReadStrictly | go test . | 3 findings\n", "refused: lacks a part"},
+		"not issued":  {"TestKnownRedIsReadStrictly | go test . | 3 findings | later\n", "refused: names an issue"},
+		"old form":    {"TestKnownRedIsReadStrictly: 3 findings (issue 7)\n", "refused: lacks a part"},
+		"unknown":     {"TestOfNothingAtAll" + entry, "refused: does not exist"},
+		"twice":       {"TestKnownRedIsReadStrictly" + entry + "TestKnownRedIsReadStrictly" + entry, "refused: listed twice"},
+		"a pattern":   {"Test.*" + entry, "refused: not the name of a test"},
+		"five parts":  {"TestKnownRedIsReadStrictly | a | b | c | issue 7\n", "refused: has more"},
+		"four in all": {"TestKnownRedIsReadStrictly/1" + entry + "TestKnownRedIsReadStrictly/2" + entry + "TestKnownRedIsReadStrictly/3" + entry + "TestKnownRedIsReadStrictly/4" + entry, "refused: three entries at most"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "list")
+			if err := os.WriteFile(file, []byte(c.list), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command("bash", ".ci/known-red", file)
+			var printed strings.Builder
+			cmd.Stderr = &printed
+			pattern, err := cmd.Output()
+			if why, refused := strings.CutPrefix(c.want, "refused: "); refused {
+				if err == nil || !strings.Contains(printed.String(), why) {
+					t.Errorf("%v, %q, want %q", err, printed.String(), why)
+				}
+				return
+			}
+			if err != nil || strings.TrimSpace(string(pattern)) != c.want || !strings.Contains(printed.String(), c.list) {
+				t.Errorf("%v, pattern %q, want %q; printed %q", err, pattern, c.want, printed.String())
+			}
+		})
+	}
+}
