The large surge is played on more seeds by a flag

Need: twenty seeds beside the three of the entry. The body of runSurge takes its seeds as arguments; check, bound and the three seeds are as they were.

--- a/proxyproto/surge_test.go
+++ b/proxyproto/surge_test.go
@@ -1,6 +1,7 @@
 package proxyproto_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,8 @@
 	"porthub/policyapi"
 )
 
+var surgeSeeds = flag.Uint64("surge-seeds", 2, "how many further seeds of the large surge are played")
+
 // fullSize returns the settings of a deployment of 200 endpoints and 2,400 proxies under five coordinators.
 func fullSize() policyapi.Start {
 	return policyapi.Start{
@@ -59,8 +62,13 @@
 // grace period.
 func TestLargeSurgeOfProxiesDuringARelease(t *testing.T) { runSurge(t, 1800) }
 
-func runSurge(t *testing.T, proxies int) {
-	for seed := range uint64(3) {
+// The same on other seeds: go test ./proxyproto -run TestLargeSurgeOnMoreSeeds -surge-seeds 20
+func TestLargeSurgeOnMoreSeeds(t *testing.T) { runSurgeOn(t, 1800, 3, *surgeSeeds) }
+
+func runSurge(t *testing.T, proxies int) { runSurgeOn(t, proxies, 0, 3) }
+
+func runSurgeOn(t *testing.T, proxies int, firstSeed, seeds uint64) {
+	for seed := firstSeed; seed < firstSeed+seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 3))
 			m := newFleetModel(t, fullSize(), seed)
