since_us of a scope that has never changed is 0

Seen: - in the document of degradation levels, which a reader takes for a time. Cause: Scopes (degradation/status.go) gave out beforeStart, the controller's mark. Why the mend holds: no time of the API is negative.

--- a/degradation/status.go
+++ b/degradation/status.go
@@ -11,7 +11,7 @@
 	Zone           policyapi.Zone         `json:"zone"` // empty: the fleet
 	Level          int                    `json:"level"`
 	Name           string                 `json:"name"`
-	Since          policyapi.Microseconds `json:"since_us"`
+	Since          policyapi.Microseconds `json:"since_us"` // 0: it has never changed
 	Reason         string                 `json:"why"`
 	AutomaticLevel int                    `json:"by_itself"` // without overrides
 	EndConditions  []string               `json:"ends"`      // what prevents leaving the level, and until when
@@ -36,7 +36,7 @@
 			Zone:           zone,
 			Level:          s.effectiveLevel,
 			Name:           c.settings.LevelName(s.effectiveLevel),
-			Since:          s.effectiveSince,
+			Since:          max(0, s.effectiveSince), // beforeStart is no time
 			Reason:         reason,
 			AutomaticLevel: s.level,
 			EndConditions:  c.endConditions(now, zone, s),
