A rejected request's log entry names the peer and the reason in order

Seen: invalid_input with "incomplete request: ADDRESS" where the reason belongs last. Cause: checkRequestTimeout (daemon/connection.go) passed the arguments of countRejection swapped; the three other calls are right. TestIncompleteRequestNamesItsPeer failed before and passes.

--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -98,7 +98,7 @@
 // checkRequestTimeout closes a connection whose request has not become complete in time.
 func (s *server) checkRequestTimeout(conn *connection) gnet.Action {
 	if time.Since(conn.requestBeganAt) > requestTimeout {
-		s.countRejection("incomplete request", conn.gnetConn.RemoteAddr().String())
+		s.countRejection(conn.gnetConn.RemoteAddr().String(), "incomplete request")
 		return gnet.Close
 	}
 	return gnet.None
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -269,3 +269,25 @@
 		return s.Connected && s.Since > since
 	})
 }
+
+// A request that does not become complete in time is rejected: what is logged names the peer and the reason, in this order.
+// (Regression: the two were swapped.)
+func TestIncompleteRequestNamesItsPeer(t *testing.T) {
+	r := startTestDaemon(t, nil)
+	c := r.dialAndSend("GET /nothing HT")
+	r.waitFor("the rejection", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, step := range r.steps {
+			for _, in := range step.inputs {
+				if rejected, is := in.(coordinator.PeerRejected); is {
+					if rejected.From != c.LocalAddr().String() || rejected.Reason != "incomplete request" {
+						t.Errorf("%+v, from %s", rejected, c.LocalAddr())
+					}
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
