A zone's pin no longer applies to unbound gateways of other zones

Cause: its table -1 equals AnyTable, which Scope.contains (routing/pins.go) took for all tables. Why the mend holds: zone and fleet decide where a scope names no table, whatever the gateway's table. TestPinsOfOtherZonesSpareUnboundGateways failed before and passes; coordinator's tests pass.

--- a/routing/pins.go
+++ b/routing/pins.go
@@ -48,13 +48,13 @@
 	}
 }
 
-// contains reports whether a table is in scope for gateways of a zone. AnyTable as the table of a gateway, which is bound
-// to none yet, is in scope of every zone.
+// contains reports whether a table is in scope for gateways of a zone. A gateway that is bound to no table yet has -1, which
+// equals AnyTable: it is in scope of its own zone and of the fleet only.
 func (s Scope) contains(table policyapi.TableID, zone policyapi.Zone) bool {
 	if s.Table != AnyTable {
 		return s.Table == table
 	}
-	return table == AnyTable || s.Zone == "" || s.Zone == zone
+	return s.Zone == "" || s.Zone == zone
 }
 
 // Pin fixes tables at an earlier state: at a version of one table, or at what all tables in scope had at a time.
--- a/routing/versions_test.go
+++ b/routing/versions_test.go
@@ -211,3 +211,21 @@
 		}
 	}
 }
+
+// A gateway that is bound to no table, which its table -1 says, is in scope of the pins of its own zone and of the fleet only.
+// (Regression: -1 is AnyTable too, so that every zone's pin applied to it.)
+func TestPinsOfOtherZonesSpareUnboundGateways(t *testing.T) {
+	store := NewVersionStore(10, 1000*second)
+	store.Put(1*second, 1, Weights{"a": 1}, nil)
+	if _, err := store.Pin(2*second, Pin{Scope: Scope{Table: AnyTable, Zone: "b"}, At: second, Reason: "worse since"}); err != nil {
+		t.Fatal(err)
+	}
+	eligible := func(policyapi.EndpointID) EndpointEligibility { return EndpointEligibility{} }
+	current := Weights{"c": 1}
+	if _, pin, overruled := store.Effective(AnyTable, 0, "a", current, eligible); pin != nil || overruled != "" {
+		t.Errorf("zone a: pin %+v, %q", pin, overruled)
+	}
+	if _, pin, _ := store.Effective(AnyTable, 0, "b", current, eligible); pin == nil {
+		t.Error("zone b: its pin does not apply")
+	}
+}
