A status without gateways has empty lists, not null

Cause: Core.Status and the command left slices nil (coordinator/status.go, cmd/porthub/tables.go). Why the mend holds: both start from empty lists. TestStatusWithoutGateways failed before and passes.

--- a/cmd/porthub/tables.go
+++ b/cmd/porthub/tables.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", daemon.ErrEnvironment, err)
 	}
-	gateways := status.Gateways[:0:0] // nil only if the status has none: JSON shows the difference
+	gateways := []coordinator.GatewayStatus{} // never null in JSON, whatever an older coordinator sends
 	for _, gateway := range status.Gateways {
 		if f.gateway == "" || string(gateway.Gateway) == f.gateway {
 			gateways = append(gateways, gateway)
--- a/coordinator/status.go
+++ b/coordinator/status.go
@@ -67,7 +67,13 @@
 
 // Status returns the state of the coordinator with all tables. It changes nothing.
 func (c *Core) Status() Status {
-	s := Status{Now: c.now, Steps: c.steps, Solver: c.solverStatus()}
+	s := Status{
+		Now:       c.now,
+		Steps:     c.steps,
+		Endpoints: []policyapi.Endpoint{}, // never null in JSON
+		Gateways:  []GatewayStatus{},
+		Solver:    c.solverStatus(),
+	}
 	s.Sampling, s.Estimates = c.Estimates()
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints.entries)) {
 		s.Endpoints = append(s.Endpoints, c.endpoints.entries[id])
