Gateways of unknown zones no longer fill the limit on gateways

Seen: a rejected gateway that names an unknown zone was kept and listed; after 60,000 such names every new gateway is rejected until a restart. Cause: Core.handleConnect (coordinator/gateways.go) took the gateway in before it looked at its zone. Why the mend holds: the zone is checked first.

--- a/coordinator/gateways.go
+++ b/coordinator/gateways.go
@@ -135,6 +135,11 @@
 // handleConnect accepts a connection. A second connection under a gateway's name replaces the first one, which the gateway
 // itself has given up.
 func (c *Core) handleConnect(in GatewayConnected) []policyapi.Event {
+	if !slices.Contains(c.settings.Start.Zones, in.Zone) { // before it takes a place among the gateways
+		c.warn(eventGatewayUnknownZone, in.Gateway, "zone %q is not one of %v", in.Zone, c.settings.Start.Zones)
+		c.outbox.emit(CloseConnection{in.Conn, "unknown zone"})
+		return nil
+	}
 	g := c.gateways.byName[in.Gateway]
 	if g == nil {
 		if count := len(c.gateways.inOrder); count >= maxGateways {
@@ -145,11 +150,6 @@
 		g = c.gateways.add(in.Gateway, routing.NewDelivery(c.settings.Epoch, c.messageBudget()))
 	}
 	defer c.updateGateway(g)
-	if !slices.Contains(c.settings.Start.Zones, in.Zone) {
-		c.warn(eventGatewayUnknownZone, in.Gateway, "zone %q is not one of %v", in.Zone, c.settings.Start.Zones)
-		c.outbox.emit(CloseConnection{in.Conn, "unknown zone"})
-		return nil
-	}
 	var events []policyapi.Event
 	if g.connected && g.conn != in.Conn {
 		c.warn(eventConnectionReplaced, in.Gateway, "a second connection under this name: the first one is closed")
--- a/coordinator/status_test.go
+++ b/coordinator/status_test.go
@@ -20,3 +20,16 @@
 		}
 	}
 }
+
+// A gateway that names an unknown zone is rejected and takes no place: connections under ever new names do not fill the limit on
+// gateways. (Regression: each was kept, and after 60,000 of them every new gateway was rejected.)
+func TestGatewayOfUnknownZoneTakesNoPlace(t *testing.T) {
+	h := newHarness(t, nil)
+	h.step(GatewayConnected{Gateway: "g-lost", Conn: 1, Zone: "nowhere"})
+	if n := len(h.core.gateways.inOrder); n != 0 {
+		t.Errorf("%d gateways are kept", n)
+	}
+	if n := len(h.core.Status().Gateways); n != 0 {
+		t.Errorf("%d gateways are listed", n)
+	}
+}
