--- a/policy/doc.go
+++ b/policy/doc.go
@@ -17,8 +17,8 @@
 //   - planner turns their states into a target state (planner.go): the fleet's capacity (fleet.go), groups of endpoints
 //     and proxies (groups.go, rebalance.go), weights (weights.go) and admission (admission.go, classes.go).
 //   - channel brings the proxies nearer to the target state within the limits on lines and messages (channel.go): the
-//     order of changes (delivery.go, removal.go), the tables and their differences (replica.go, diff.go), the
-//     proxies' streams (streams.go) and the queue (budget.go).
+//     order of changes (delivery.go, removal.go), the tables and their differences (replica.go, diff.go), smaller tables
+//     for a crowd of new proxies (subset.go), the proxies' streams (streams.go) and the queue (budget.go, window.go).
 //
 // instance.go has the loop that delivers the messages. Start reading with planner.plan and channel.deliver.
 //
