adapter: a panic is tested by an instance that was never set up

It now steps an instance that was never set up, through the same handler, and asserts the same two lines; TestStartWithoutZones asserts that such a start is no exception.

--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -3,6 +3,10 @@
 import (
 	"strings"
 	"testing"
+
+	"porthub/policy"
+	"porthub/policyapi"
+	"porthub/simwire"
 )
 
 // The adapter replies to every batch, ignores events for instances that do not run, drops a crashed one, and returns an error
@@ -28,18 +32,36 @@
 	}
 }
 
-// An instance whose code panics, here over a zone list without zones, is reported as an exception, and the others go on.
+// An instance whose code panics, here since it was never set up, is reported as an exception, and the others go on.
 func TestPanicIsReported(t *testing.T) {
 	in := "TURN\t1\n" +
-		"UP\tbad\t7\t{\"localities\":[]}\n" +
 		"UP\tgood\t7\t{\"localities\":[\"a\"],\"profiles\":[{\"name\":\"view\",\"slo\":750000}]}\n" +
 		"DISCOVERY\tbad\t1\tFULL\t1\nROW\ta\tb:1\t1\t0\t-\tstd\tready\n" +
 		"EOB\n"
+	batch, err := simwire.NewReader(strings.NewReader(in)).Read()
+	if err != nil {
+		t.Fatal(err)
+	}
 	var out strings.Builder
-	if err := serve(strings.NewReader(in), &out); err != nil {
+	w := simwire.NewWriter(&out)
+	h := host{instances: map[policyapi.InstanceID]*policy.Instance{"bad": {}}}
+	h.handle(batch, w)
+	if err := w.End(); err != nil {
 		t.Fatal(err)
 	}
 	if !strings.Contains(out.String(), "EXCEPTION\tbad\t") || !strings.Contains(out.String(), "SLEEP\tgood\t") {
 		t.Errorf("reply %q", out.String())
 	}
 }
+
+// A start without zones is no exception.
+func TestStartWithoutZones(t *testing.T) {
+	in := "TURN\t1\nUP\ti\t7\t{\"localities\":[]}\nDISCOVERY\ti\t1\tFULL\t1\nROW\ta\tb:1\t1\t0\t-\tstd\tready\nEOB\n"
+	var out strings.Builder
+	if err := serve(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(out.String(), "EXCEPTION") || !strings.Contains(out.String(), "SLEEP\ti\t") {
+		t.Errorf("reply %q", out.String())
+	}
+}
