Soak: its checks of the process are shown to complain; comments reflowed

Need: TestSoakJudgesComplain was said to show each check, but had none for a process that ignores SIGTERM, too many descriptors, or a process that has ended. It has them now; the limit on ready starts is still not shown.

--- a/cmd/porthub/soak_test.go
+++ b/cmd/porthub/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -245,6 +246,11 @@
 	if s.random.IntN(2) == 0 {
 		s.hangup(node, []string{soakConfig(s.address, second), "{"}[s.random.IntN(2)])
 	}
+	s.terminate(node)
+}
+
+// terminate sends SIGTERM and, to a process that still runs, SIGKILL at the earliest that the platform allows.
+func (s *soak) terminate(node *nodeProcess) {
 	s.log("SIGTERM")
 	node.signal(syscall.SIGTERM)
 	ended := make(chan error, 1)
@@ -332,6 +338,7 @@
 			}
 		})
 	}
+	testSoakJudgesProcess(t)
 	s := &soak{t: t, random: rand.New(rand.NewPCG(1, 1)), began: time.Now()}
 	s.judgeEnd(errors.New("exit status 1"), `{"level":"error","msg":"x"}`+"\n"+"panic: y\n")
 	if len(s.findings) != 3 {
@@ -347,3 +354,38 @@
 		t.Errorf("a drained endpoint and an empty table: %v", s.findings)
 	}
 }
+
+// testSoakJudgesProcess shows that the soak complains about a process that ignores SIGTERM, has too many descriptors, or has ended.
+func testSoakJudgesProcess(t *testing.T) {
+	stubborn := exec.Command("sh", "-c", "trap '' TERM; echo ready; while :; do sleep 0.1; done")
+	output, err := stubborn.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stubborn.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := output.Read(make([]byte, 16)); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.CreateTemp(t.TempDir(), "log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	node := &nodeProcess{Cmd: stubborn, t: t, log: log}
+	s := &soak{t: t, began: time.Now()}
+	const noClients = -40 // with the allowance none may be open
+	s.checkDescriptors(node, noClients)
+	s.terminate(node)
+	s.checkDescriptors(node, 100)
+	want := []string{"descriptors:", "still runs", "the process has ended"}
+	if len(s.findings) != len(want) {
+		t.Fatalf("findings %v", s.findings)
+	}
+	for i := range want {
+		if !strings.Contains(s.findings[i], want[i]) {
+			t.Errorf("finding %q, want %q", s.findings[i], want[i])
+		}
+	}
+}
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -50,10 +50,11 @@
 	a.any = true
 }
 
-// queuedLines estimates the lines in the channel from the acknowledgements. Messages to different proxies can overtake each other by seconds: what waits for a proxy that disconnects is
-// dropped, and only later messages take its place. But one that has been in flight for much longer than any that was
-// acknowledged lately no longer counts: its proxy has stopped responding and will never acknowledge it. Whatever the
-// latencies, and where nothing was ever acknowledged, a message counts for messageExpiry at most.
+// queuedLines estimates the lines in the channel from the acknowledgements. Messages to different proxies can overtake
+// each other by seconds: what waits for a proxy that disconnects is dropped, and only later messages take its place. But
+// one that has been in flight for much longer than any that was acknowledged lately no longer counts: its proxy has
+// stopped responding and will never acknowledge it. Whatever the latencies, and where nothing was ever acknowledged, a
+// message counts for messageExpiry at most.
 func (c *channel) queuedLines(now micros) (lines float64) {
 	add := func(messages []pendingMessage) {
 		for _, m := range messages {
--- a/policy/subset.go
+++ b/policy/subset.go
@@ -39,7 +39,8 @@
 	return lines
 }
 
-// plannedLines are the lines that one of a replica's tables should have.
+// plannedLines are the lines that one of a replica's tables should have. Where hardly any endpoint has warmed up, a subset
+// table is the complete one.
 func (c *channel) plannedLines(r *replica, set int) []tableLine {
 	plan := c.target.tables[r.group][set]
 	if r.subset == 0 || len(plan.subsetCandidates) <= subsetLines {
