--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -31,6 +31,8 @@
 	mu        sync.Mutex
 	removedAt time.Time // when its registration was cancelled; zero while it is registered
 	toldAt    time.Time // when a response of the registry without it had been written to the coordinator
+
+	sent, answered, late int
 }
 
 func newNode(id, zone string) (*node, error) {
@@ -50,6 +52,14 @@
 	return n, nil
 }
 
+func (n *node) count(sent, answered, late int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent += sent
+	n.answered += answered
+	n.late += late
+}
+
 func (n *node) stop() { _ = n.server.Close() }
 
 // told returns when the coordinator was told that the node has left, and false if it was not.
@@ -285,21 +295,28 @@
 		if addr == "" {
 			continue
 		}
-		if n := g.f.node(addr); n != nil && !joined.IsZero() {
+		n := g.f.node(addr)
+		if n == nil {
+			continue
+		}
+		n.count(1, 0, 0)
+		if !joined.IsZero() {
 			if told, is := n.told(); is {
 				if joined.After(told) {
 					told = joined
 				}
 				if over := now.Sub(told); over > drainGrace+slack {
+					n.count(0, 0, 1)
 					g.f.breaks("%s sends a %s request to %s %d ms after the coordinator was told that it is gone", g.name, class, n.id, over.Milliseconds())
 				}
 			}
 		}
-		go g.send(ctx, class, addr)
+		go g.send(ctx, class, n)
 	}
 }
 
-func (g *gateway) send(ctx context.Context, class, addr string) {
+func (g *gateway) send(ctx context.Context, class string, n *node) {
+	addr := n.addr
 	began := time.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/work", nil)
 	if err != nil {
@@ -329,6 +346,7 @@
 		}
 		return
 	}
+	n.count(0, 1, 0)
 	g.failures[addr] = 0
 	c.took += time.Since(began)
 }
--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -116,6 +116,7 @@
 	f.stop(syscall.SIGTERM)
 	for _, n := range f.nodes {
 		n.stop()
+		f.note("sent to %s: %d, answered: %d, sent too late: %d", n.id, n.sent, n.answered, n.late)
 	}
 	if err != nil {
 		f.note("could not run: %v", err)
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -95,7 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, host := range p.order {
-		p.w.note("sent to %s: %d, of which too late: %d", host, p.sends[host], p.late[host])
+		p.w.note("sent to %s: %d, answered: %d, sent too late: %d", host, p.sends[host], p.answered[host], p.late[host])
 	}
 	for _, c := range p.coordinators {
 		p.w.note("channel of %s: at most %.0f lines waited", c.name, c.channel.most)
--- a/review/platform/platform.go
+++ b/review/platform/platform.go
@@ -21,12 +21,13 @@
 	order        []string
 	proxies      []*proxy
 
-	mu      sync.Mutex
-	tallies map[tallyKey]*tally
-	spoil   string // the next report on this backend has a field that is out of range
-	sends   map[string]int
-	late    map[string]int
-	recent  map[string][]coldSend // by cold backend: what was sent within fallWindow
+	mu       sync.Mutex
+	tallies  map[tallyKey]*tally
+	spoil    string // the next report on this backend has a field that is out of range
+	sends    map[string]int
+	answered map[string]int
+	late     map[string]int
+	recent   map[string][]coldSend // by cold backend: what was sent within fallWindow
 }
 
 // coldSend is a request that was sent to a cold backend.
@@ -48,7 +49,7 @@
 
 func newPlatform(w *world, l layout, dir, run string) (*platform, error) {
 	p := &platform{w: w, d: newDiscovery(w), backends: map[string]*backend{}, tallies: map[tallyKey]*tally{},
-		sends: map[string]int{}, late: map[string]int{}, recent: map[string][]coldSend{}}
+		sends: map[string]int{}, answered: map[string]int{}, late: map[string]int{}, recent: map[string][]coldSend{}}
 	for i := range l.backends {
 		if err := p.addBackend(fmt.Sprintf("s-%08x", 0x5be20000+i), zones[i%len(zones)], i/len(zones)/3, time.Time{}); err != nil {
 			return nil, err
@@ -212,6 +213,13 @@
 	}
 }
 
+// countAnswer counts a request that a backend has answered.
+func (p *platform) countAnswer(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered[host]++
+}
+
 // spoilNext spoils the next report on a backend.
 func (p *platform) spoilNext(host string) {
 	p.mu.Lock()
--- a/review/platform/proxy.go
+++ b/review/platform/proxy.go
@@ -458,6 +458,9 @@
 		x.failures[host] = 0
 	}
 	x.mu.Unlock()
+	if !failed {
+		x.p.countAnswer(host)
+	}
 	if s != nil {
 		x.p.count(s.c, x.zone, host, failed, took)
 	}
