--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -21,7 +21,7 @@
 	"porthub/xds"
 )
 
-const workTime = 30 * time.Millisecond
+const workTime = 160 * time.Millisecond
 
 // node is a calc node.
 type node struct {
@@ -33,6 +33,8 @@
 	toldAt    time.Time // when a response of the registry without it had been written to the coordinator
 
 	sent, answered, late int
+	second               int64   // the present second, with the requests that came in it
+	arrivals, util       float64 // util is that of the second before
 }
 
 func newNode(id, zone string) (*node, error) {
@@ -44,6 +46,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/work", func(w http.ResponseWriter, _ *http.Request) {
+		n.arrive()
 		time.Sleep(workTime)
 		w.WriteHeader(http.StatusOK)
 	})
@@ -60,6 +63,32 @@
 	n.late += late
 }
 
+// capacity is the number of requests a second at which a node counts as busy all the time.
+const capacity = 12.5
+
+// turn closes the present second if it is over.
+func (n *node) turn() {
+	if now := time.Now().Unix(); now != n.second {
+		n.util = min(1, n.arrivals/capacity)
+		n.arrivals = 0
+		n.second = now
+	}
+}
+
+func (n *node) arrive() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.turn()
+	n.arrivals++
+}
+
+func (n *node) utilization() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.turn()
+	return n.util
+}
+
 func (n *node) stop() { _ = n.server.Close() }
 
 // told returns when the coordinator was told that the node has left, and false if it was not.
@@ -228,7 +257,7 @@
 				mean = c.took / time.Duration(good)
 			}
 			report.Endpoints = append(report.Endpoints, xds.EndpointReport{Address: addr, Zone: g.f.zoneOf(addr), Attempts: c.attempts, Failures: c.failures,
-				MeanLatency: mean, Metrics: map[string]float64{"util": 0.4, "queue": 0}})
+				MeanLatency: mean, Metrics: map[string]float64{"util": g.f.node(addr).utilization(), "queue": 0}})
 		}
 		reports = append(reports, report)
 	}
@@ -285,7 +314,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(rand.ExpFloat64() / g.share * float64(time.Second))):
+		case <-time.After(time.Duration(rand.ExpFloat64() / (g.share * g.f.trafficNow()) * float64(time.Second))):
 		}
 		class, now := classes[rand.IntN(len(classes))], time.Now()
 		g.mu.Lock()
--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -45,6 +45,7 @@
 	mu      sync.Mutex
 	record  *os.File
 	broken  int
+	traffic float64 // part of the usual traffic
 	command *exec.Cmd
 	ended   chan struct{}
 }
@@ -150,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{began: time.Now(), dir: dir, program: program, listen: listen, tables: filepath.Join(dir, "tables"), record: file}
+	f := &fleet{began: time.Now(), dir: dir, program: program, listen: listen, tables: filepath.Join(dir, "tables"), record: file, traffic: 1}
 	if f.registry, err = newRegistry(f); err != nil {
 		return nil, err
 	}
@@ -280,3 +281,16 @@
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String(), nil
 }
+
+// fall lowers the traffic by a part of the usual one.
+func (f *fleet) fall(part float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.traffic -= part
+}
+
+func (f *fleet) trafficNow() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.traffic
+}
--- a/review/platform/backend.go
+++ b/review/platform/backend.go
@@ -30,10 +30,10 @@
 	workTime   = 160 * time.Millisecond // of a request at a warm backend
 	cores      = 2
 	capacity   = 12.5 // requests a second of a warm backend
-	room       = 20   // requests that may run or wait; more are turned away
+	room       = 44   // requests that may run or wait; more are turned away
 	coldFrom   = 0.16
 	overload   = 2.5
-	fallWindow = 2 * time.Second
+	fallWindow = 2*time.Second + slack
 )
 
 func newBackend(id, zone string) (*backend, error) {
--- a/review/platform/coordinator.go
+++ b/review/platform/coordinator.go
@@ -107,7 +107,7 @@
 		"kindOfService": "control",
 		"domain": map[string]any{"baseMode": 0, "byZone": true, "classOwnZone": []bool{false, false, false}, "dataPlaneSize": c.proxies, "emptyFor": emptyFor.Microseconds(),
 			"envelope": envelope, "firstWait": 1.2, "hold": 300000, "inFlightMax": 2020000, "ingestRate": 200.0, "levelKind": "rate", "linesPerS": linesPerS,
-			"mutating": []bool{false, false, true}, "outlierAfter": 5, "partitionsN": 0, "period": reportPeriod.Microseconds(), "pick": "weighted", "pushPrice": 0.04,
+			"mutating": []bool{false, false, true}, "outlierAfter": 5, "partitionsN": 0, "period": reportPeriod.Microseconds(), "pick": "round", "pushPrice": 0.04,
 			"queueCap": queueCap, "reloadSpan": reloadSpan.Microseconds(), "shiftFee": 0.01, "socketsMin": 211.0, "soleOwner": false, "standing": 6, "tenure": 2500000,
 			"transit": 312000, "updateCap": updateCap, "warmKeys": true, "worstTransit": 780000},
 		"profiles": []any{profile("schedule", "repeatable", 750000, 2500000, 1, 0.1), profile("capacity", "repeatable", 800000, 2500000, 1, 0.2),
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -97,6 +97,7 @@
 	for _, host := range p.order {
 		p.w.note("sent to %s: %d, answered: %d, sent too late: %d", host, p.sends[host], p.answered[host], p.late[host])
 	}
+	p.w.note("most that a cold backend was knowingly sent: %.2f of its budget", p.peak)
 	for _, c := range p.coordinators {
 		p.w.note("channel of %s: at most %.0f lines waited", c.name, c.channel.most)
 	}
--- a/review/platform/platform.go
+++ b/review/platform/platform.go
@@ -27,6 +27,7 @@
 	sends    map[string]int
 	answered map[string]int
 	late     map[string]int
+	peak     float64               // the most that a cold backend was knowingly sent, in budgets
 	recent   map[string][]coldSend // by cold backend: what was sent within fallWindow
 }
 
@@ -44,8 +45,11 @@
 	took   time.Duration
 }
 
-// layout is the size of a deployment.
-type layout struct{ coordinators, backends, proxies int }
+// layout is the size of a deployment. Traffic of 1 is 156 requests a second from 15 proxies.
+type layout struct {
+	coordinators, backends, proxies int
+	traffic                         float64
+}
 
 func newPlatform(w *world, l layout, dir, run string) (*platform, error) {
 	p := &platform{w: w, d: newDiscovery(w), backends: map[string]*backend{}, tallies: map[tallyKey]*tally{},
@@ -63,9 +67,9 @@
 		p.coordinators = append(p.coordinators, c)
 	}
 	for i := range l.proxies {
-		share := 8.0
+		share := 8.0 * l.traffic
 		if i%5 == 0 {
-			share = 20
+			share = 20 * l.traffic
 		}
 		p.proxies = append(p.proxies, newProxy(p, i, zones[i%len(zones)], share))
 	}
@@ -124,42 +128,44 @@
 	return nil
 }
 
-// collect is the collector of a zone: it passes on each period what the joined proxies met, 0.6 s late.
+// reportDelay is how late a collector passes on its sums.
+const reportDelay = 600 * time.Millisecond
+
+// collect is the collector of a zone: each period it passes on what the joined proxies met in it.
 func (p *platform) collect(ctx context.Context, c *coordinator, zone string) {
-	var conn net.Conn
+	batches := make(chan [][]byte, 16)
+	go p.pass(ctx, c, zone, batches)
+	began := time.Now()
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(reportPeriod):
+		case <-ticker.C:
 		}
-		var messages [][]byte
-		for _, host := range p.hosts() {
-			key := tallyKey{c.name, zone, host}
-			p.mu.Lock()
-			t := p.tallies[key]
-			delete(p.tallies, key)
-			p.mu.Unlock()
-			if t == nil || t.n == 0 {
-				continue
-			}
-			words := []string{"LOAD", "az", zone, "host", host, "n", strconv.Itoa(t.n), "bad", strconv.Itoa(t.bad), "avg"}
-			avg := 0.0
-			if good := t.n - t.bad; good > 0 {
-				avg = float64(t.took.Microseconds()) / 1000 / float64(good)
-			}
-			words = append(words, fmt.Sprintf("%.1f", avg), "window", "1000.0")
-			if t.bad < t.n {
-				util, queue := p.backend(host).load()
-				words = append(words, "report", fmt.Sprintf("util:%.2f,queue:%.0f", util, queue))
-			}
-			if p.spoils(host) {
-				words[6] = spoiltTries
-				p.w.note("collector of %s sends a spoilt report: %s", zone, strings.Join(words, " "))
+		window := time.Since(began)
+		began = time.Now()
+		messages := p.reports(c, zone, window)
+		time.AfterFunc(reportDelay, func() {
+			select {
+			case batches <- messages:
+			case <-ctx.Done():
 			}
-			messages = append(messages, respMessage(words...))
+		})
+	}
+}
+
+// pass connects the collector and writes its reports.
+func (p *platform) pass(ctx context.Context, c *coordinator, zone string, batches chan [][]byte) {
+	var conn net.Conn
+	for {
+		var messages [][]byte
+		select {
+		case <-ctx.Done():
+			return
+		case messages = <-batches:
 		}
-		time.Sleep(600 * time.Millisecond)
 		if conn == nil {
 			made, err := net.DialTimeout("tcp", c.addr, time.Second)
 			if err != nil {
@@ -167,10 +173,7 @@
 			}
 			p.w.own(made)
 			conn = made
-			if _, err := conn.Write(respMessage("SOURCE", "az", zone)); err != nil {
-				conn = nil
-				continue
-			}
+			messages = append([][]byte{respMessage("SOURCE", "az", zone)}, messages...)
 		}
 		for _, m := range messages {
 			if _, err := conn.Write(m); err != nil {
@@ -182,6 +185,36 @@
 	}
 }
 
+// reports returns and resets what the proxies of a zone met at each backend.
+func (p *platform) reports(c *coordinator, zone string, window time.Duration) (messages [][]byte) {
+	for _, host := range p.hosts() {
+		key := tallyKey{c.name, zone, host}
+		p.mu.Lock()
+		t := p.tallies[key]
+		delete(p.tallies, key)
+		p.mu.Unlock()
+		if t == nil || t.n == 0 {
+			continue
+		}
+		avg := 0.0
+		if good := t.n - t.bad; good > 0 {
+			avg = float64(t.took.Microseconds()) / 1000 / float64(good)
+		}
+		words := []string{"LOAD", "az", zone, "host", host, "n", strconv.Itoa(t.n), "bad", strconv.Itoa(t.bad), "avg", fmt.Sprintf("%.1f", avg),
+			"window", fmt.Sprintf("%.1f", float64(window.Microseconds())/1000)}
+		if t.bad < t.n {
+			util, queue := p.backend(host).load()
+			words = append(words, "report", fmt.Sprintf("util:%.2f,queue:%.0f", util, queue))
+		}
+		if p.spoils(host) {
+			words[6] = spoiltTries
+			p.w.note("collector of %s sends a spoilt report: %s", zone, strings.Join(words, " "))
+		}
+		messages = append(messages, respMessage(words...))
+	}
+	return messages
+}
+
 // spoiltTries is the number of tries in a spoilt report.
 const spoiltTries = "2000000000"
 
@@ -309,8 +342,11 @@
 			knew++
 		}
 	}
-	share := coldFrom + (1-coldFrom)*max(0, (age-fallWindow).Seconds())/coldFor.Seconds()
+	share := coldFrom + (1-coldFrom)*age.Seconds()/coldFor.Seconds() // at the end of the window, when it is highest
 	budget := overload * share * capacity * fallWindow.Seconds()
+	if 3*knew >= 2*len(sends) {
+		p.peak = max(p.peak, float64(len(sends))/budget)
+	}
 	if n := len(sends); float64(n) > 1.3*budget+2 && 3*knew >= 2*n {
 		p.w.breaks("cold", "%s, started %s ago, was sent %d requests within %s, %d of them knowingly; its budget is %.0f", host, age, n, fallWindow, knew, budget)
 	}
--- a/review/platform/proxy.go
+++ b/review/platform/proxy.go
@@ -71,7 +71,11 @@
 }
 
 // tableOf is the table of one class.
-type tableOf struct{ rows map[string]float64 }
+type tableOf struct {
+	rows  map[string]float64
+	due   map[string]float64 // when a line is due, on the table's own clock
+	clock float64
+}
 
 // proxy is a plain proxy: it follows its tables.
 type proxy struct {
@@ -123,7 +127,7 @@
 	}
 	rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	for _, class := range classes {
-		x.tables[class] = &tableOf{rows: map[string]float64{}}
+		x.tables[class] = &tableOf{rows: map[string]float64{}, due: map[string]float64{}}
 		for _, host := range own[:min(6, len(own))] {
 			x.tables[class].rows[host] = 1
 		}
@@ -297,12 +301,14 @@
 		for _, class := range o.classes {
 			t := x.tables[class]
 			if o.replace {
-				t.rows = map[string]float64{}
+				t.rows, t.due, t.clock = map[string]float64{}, map[string]float64{}, 0
 				delete(x.levels, class)
 				x.standing = false
-				clear(x.dropped)
 			}
 			for host, weight := range o.rows {
+				if t.rows[host] != weight {
+					delete(t.due, host)
+				}
 				if weight == 0 {
 					delete(t.rows, host)
 				} else {
@@ -363,25 +369,28 @@
 	}
 }
 
-// pick chooses a backend at random by weight.
+// pick chooses a backend evenly by weight: each line is due again after a time that is the inverse of its weight. A line that is new
+// begins at a random point of that time.
 func (x *proxy) pick(class string, now time.Time) string {
 	t := x.tables[class]
-	total := 0.0
+	best := ""
 	for host, weight := range t.rows {
-		if !x.dropped[host] && !now.Before(x.avoid[host]) {
-			total += weight
+		if _, has := t.due[host]; !has {
+			t.due[host] = t.clock + rand.Float64()/weight
 		}
-	}
-	at := rand.Float64() * total
-	for host, weight := range t.rows {
 		if x.dropped[host] || now.Before(x.avoid[host]) {
 			continue
 		}
-		if at -= weight; at < 0 {
-			return host
+		t.due[host] = max(t.due[host], t.clock) // an avoided line does not catch up
+		if best == "" || t.due[host] < t.due[best] {
+			best = host
 		}
 	}
-	return ""
+	if best != "" {
+		t.clock = t.due[best]
+		t.due[best] += 1 / t.rows[best]
+	}
+	return best
 }
 
 // requests sends the proxy's requests.
