--- a/review/platform/scenarios.go
+++ b/review/platform/scenarios.go
@@ -38,15 +38,16 @@
 	return nil
 }
 
-// playSpoilt replaces five backends one after the other, as on any day. A few seconds before, one field of one report on one of them
-// is out of range.
+// playSpoilt replaces half of the backends one after the other. A few seconds before, one field of one report on one of them is out of
+// range.
 func playSpoilt(p *platform, trouble bool) error {
 	p.sleepUntil(12)
 	if trouble {
 		p.spoilNext(p.order[0])
 	}
 	p.sleepUntil(18)
-	for i, old := range []string{p.order[0], p.order[3], p.order[6], p.order[9], p.order[12]} {
+	old := p.hosts()
+	for i, old := range []string{old[0], old[3], old[6], old[9], old[12], old[1], old[4], old[7], old[10]} {
 		e := p.d.entry(old)
 		e.Health = "Terminating"
 		p.d.set(e)
