--- a/review/platform/scenarios.go
+++ b/review/platform/scenarios.go
@@ -15,7 +15,7 @@
 
 var scenarios = map[string]scenario{
 	"pieces": {layout{coordinators: 1, backends: 18, proxies: 15, traffic: 0.7}, playPieces},
-	"spoilt": {layout{coordinators: 1, backends: 18, proxies: 15, traffic: 1}, playSpoilt},
+	"spoilt": {layout{coordinators: 1, backends: 18, proxies: 15, traffic: 1.12}, playSpoilt},
 }
 
 // playPieces takes a third of the backends out of service in one step, while discovery delivers the bytes of its lines in pieces: the
