One report with a field out of range no longer pushes cold backends over

Cause: a number in a report went as it stood into estimates with a long memory. The prior of an endpoint's speed is the sum of all completed requests over all busy seconds; an endpoint that has just started has nothing but the prior, a warm one has ten busy seconds of its own beside it. So the started one counted as almost six warm ones, which cancels slow start.

Evidence: a trace of the estimate one second after a replacement, without and with the spoilt report: prior 22 and 72,570,945; capacity of the started endpoint over that of a warm one 1.0 and 5.8; slow start factor 0.21, pressure 0.99, failure rate 0, no ejection in both; load 1.7 and 9.3 against a bound of 6.6.

Change: completed attempts count up to 3.75 times the endpoint's estimated capacity (the range within which a fleet's speed is measured), failed ones and a proxy's requests up to 20 times the known demand (policy/plausibility.go). Reports are limited and not discarded, and each one raises the next limit. Why it works: one report can then raise an estimate 2.8 times at most, and slow start's margin of 0.7 keeps that below the 2.5 times at which a cold backend fails.

Same cause on related paths, through the same limits: a proxy's requests, the figure that it connects with, an endpoint's own rate (which also stayed as external load for good when it was not repeated), and the restart of the endpoint that the report named.

--- a/policy/capacity.go
+++ b/policy/capacity.go
@@ -38,8 +38,10 @@
 	busyShare    float64 // fraction of CPU in use, as last reported
 	queue        float64 // requests queued, as last reported
 	reportsRate  bool    // the endpoint reports its own rate
-	lastRate     float64 // requests per second of the last round, or 0 if the round was not used for learning
-	lastBusy     float64 // busy fraction of the last round, or 0 if the round was not used for learning
+	// rateReportedAt is when the endpoint last reported its own rate.
+	rateReportedAt micros
+	lastRate       float64 // requests per second of the last round, or 0 if the round was not used for learning
+	lastBusy       float64 // busy fraction of the last round, or 0 if the round was not used for learning
 }
 
 // reportedMetrics are the LoadMetrics that the policy uses.
@@ -63,6 +65,9 @@
 	}
 	if metrics.hasRate {
 		l.externalLoad = max(0, metrics.rate-l.served)
+		l.rateReportedAt = now
+	} else if now-l.rateReportedAt >= recentReportWindow {
+		l.externalLoad = 0
 	}
 	if totals.attempts > 0 {
 		l.reportedAt = now
--- a/policy/demand.go
+++ b/policy/demand.go
@@ -33,8 +33,9 @@
 	reported      bool // the rates are measured and not assumed
 }
 
-// applyRound updates the rates with the requests of a round.
-func (p *proxyRecord) applyRound(now micros, round reportRound) {
+// applyRound updates the rates with the requests of a round. meanDemand is the mean over the connected proxies.
+func (p *proxyRecord) applyRound(now micros, round reportRound, meanDemand float64) {
+	limit := p.maxRate(meanDemand)
 	for class := range p.rates {
 		if !p.connected {
 			p.rates[class] *= disconnectedDecay
@@ -44,13 +45,23 @@
 			continue
 		}
 		seconds, step := decayStep(now, p.countedUntil[class], round.seconds)
-		p.rates[class] += step * (p.roundRequests[class]/seconds - p.rates[class])
+		rate := min(p.rates[class], limit)
+		p.rates[class] = rate + step*(min(p.roundRequests[class]/seconds, limit)-rate)
 		p.roundRequests[class] = 0
 		p.countedUntil[class] = now
 		p.reported = true
 	}
 }
 
+// maxRate returns the requests per second up to which a report on the proxy counts. A rate that is only assumed says nothing about
+// the limit.
+func (p *proxyRecord) maxRate(meanDemand float64) float64 {
+	if !p.reported {
+		return surgeLimit(meanDemand)
+	}
+	return surgeLimit(max(meanDemand, sum(p.rates)))
+}
+
 // proxyRegistry follows the proxies and estimates their demand.
 type proxyRegistry struct {
 	mailbox
@@ -58,7 +69,8 @@
 	zones      []policyapi.Zone
 	classCount int
 	proxies    map[policyapi.ProxyID]*proxyRecord
-	changed    bool // the demand has changed since the last demandUpdate
+	meanDemand float64 // of the connected proxies, as last published
+	changed    bool    // the demand has changed since the last demandUpdate
 	urgent     bool
 }
 
@@ -73,7 +85,7 @@
 	case reportRound:
 		if m.seconds > 0 {
 			for _, p := range r.proxies {
-				p.applyRound(now, m)
+				p.applyRound(now, m, r.meanDemand)
 			}
 		}
 		r.changed = true
@@ -129,7 +141,9 @@
 	r.changed = false
 	r.urgent = false
 	connected, disconnected := 0.0, 0.0
-	for _, id := range slices.Sorted(maps.Keys(r.proxies)) {
+	order := slices.Sorted(maps.Keys(r.proxies))
+	r.limitAssumed(order)
+	for _, id := range order {
 		p := r.proxies[id]
 		total := sum(p.rates)
 		if !p.connected {
@@ -144,3 +158,31 @@
 	update.allConnected = disconnected <= maxDisconnectedShare*connected
 	r.planner.send(update)
 }
+
+// limitAssumed limits the demand of the proxies that have not been reported yet to what is plausible in view of the others, and
+// updates meanDemand.
+func (r *proxyRegistry) limitAssumed(order []policyapi.ProxyID) {
+	all, count := 0.0, 0.0
+	for _, id := range order {
+		if p := r.proxies[id]; p.connected {
+			all += sum(p.rates)
+			count++
+		}
+	}
+	for _, id := range order {
+		p := r.proxies[id]
+		total := sum(p.rates)
+		if !p.connected || p.reported || count < 2 {
+			continue
+		}
+		limit := surgeLimit((all - total) / (count - 1))
+		if total <= limit {
+			continue
+		}
+		for class := range p.rates {
+			p.rates[class] *= limit / total
+		}
+		all -= total - limit
+	}
+	r.meanDemand = all / max(count, 1)
+}
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -16,7 +16,8 @@
 //     (capacity.go).
 //   - proxyRegistry estimates each proxy's demand (demand.go).
 //   - planner turns their states into a target state (planner.go): the fleet's capacity (fleet.go), groups of endpoints
-//     and proxies (groups.go, rebalance.go), weights (weights.go) and admission (admission.go, classes.go).
+//     and proxies (groups.go, rebalance.go), weights (weights.go) and admission (admission.go, classes.go). It also limits
+//     what a load report can say (plausibility.go).
 //   - channel moves the proxies toward the target state within the limits on lines and messages (channel.go): the
 //     order of changes (delivery.go, removal.go), the tables and their differences (replica.go, diff.go), smaller tables
 //     for a crowd of new proxies (subset.go), the proxies' streams (streams.go) and the queue (budget.go, window.go).
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -111,11 +111,12 @@
 	metrics := readMetrics(a.metrics)
 	a.metrics = nil
 	seconds, _ := decayStep(now, a.load.reportedAt, round.seconds)
+	metrics.limit(round.maxServedRate, seconds)
 	a.load.update(now, totals, metrics)
 
 	rate, hasRate := metrics.rate, metrics.hasRate
 	if !hasRate && round.allReported {
-		rate, hasRate = totals.latestRate, true
+		rate, hasRate = limitRate(totals.latestRate, round.maxServedRate, seconds), true
 	}
 	a.load.lastRate = 0
 	a.load.lastBusy = 0
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -80,6 +80,7 @@
 		busySeconds, requests := e.learned.throughput.total()
 		prior := priorBusySeconds * e.entry.Weight * totals.requests / totals.weightedBusySeconds
 		e.capacity = (requests + prior) / (busySeconds + priorBusySeconds)
+		p.capacities[e.id] = e.capacity
 		completed += e.load.lastRate
 		expected += e.capacity * e.load.lastBusy
 		if e.ready && p.isLocal(*e) {
--- a/policy/health.go
+++ b/policy/health.go
@@ -61,7 +61,7 @@
 		expected := 0.0
 		if zone.attempts > 0 || now-zone.countedUntil > round.silenceLimit {
 			expected = round.expectedAttempts[z]
-			zone.countRound(now, round.seconds)
+			zone.countRound(now, round)
 		} else {
 			zone.latestRate = zone.served
 		}
@@ -78,9 +78,9 @@
 }
 
 // countRound updates the rate of completed requests with the attempts of a round.
-func (h *zoneHealth) countRound(now micros, roundSeconds float64) {
-	seconds, step := decayStep(now, h.countedUntil, roundSeconds)
-	h.latestRate = (h.attempts - h.failures) / seconds
+func (h *zoneHealth) countRound(now micros, round roundClosed) {
+	seconds, step := decayStep(now, h.countedUntil, round.seconds)
+	h.latestRate = limitRate((h.attempts-h.failures)/seconds, round.maxServedRate, seconds)
 	h.countedUntil = now
 	h.served += step * (h.latestRate - h.served)
 }
--- a/policy/instance.go
+++ b/policy/instance.go
@@ -58,6 +58,7 @@
 		switch e := event.(type) {
 		case policyapi.EndpointLoad:
 			in.rounds.observe(e.Period)
+			event = in.planner.limitReport(e)
 		case policyapi.ProxyLoad:
 			in.rounds.observe(e.Period)
 		case policyapi.TimerFired:
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -37,6 +37,7 @@
 		seconds          float64   // as in reportRound
 		silenceLimit     micros    // as in reportRound
 		allReported      bool      // the reports cover nearly all of the load, as nearly all known proxies are connected
+		maxServedRate    float64   // requests per second that the endpoint can have completed
 	}
 
 	// endpointState is an endpointActor's state, for the planner.
--- a/policy/planner.go
+++ b/policy/planner.go
@@ -24,11 +24,14 @@
 	allConnected bool // the reports cover nearly all of the demand
 	list         listStatus
 
+	limitedReports int // load reports that were limited to what is plausible, since the start
+
 	round  roundCounts
 	fleet  fleetEstimate
 	groups groupSet
 
 	zoneDemand    []float64                          // requests per second, by zone of the proxies
+	capacities    map[policyapi.EndpointID]float64   // requests per second at the learned speeds
 	endpointLoad  map[policyapi.EndpointID][]float64 // requests per second that an endpoint should get, by group
 	panicZones    []bool                             // by zone of the proxies: whether ejections are ignored
 	admittedRate  float64                            // published limit on all requests per second; 0: no limit
@@ -58,6 +61,7 @@
 		fleet:         fleetEstimate{speed: 1},
 		groups:        newGroupSet(),
 		zoneDemand:    make([]float64, zones),
+		capacities:    map[policyapi.EndpointID]float64{},
 		panicZones:    make([]bool, zones),
 		maxTableLines: maxTableLines(s.rules.QueueLimit, s.messageOverhead, len(s.placements), len(s.classes)),
 	}
@@ -81,6 +85,7 @@
 		}
 	case endpointDropped:
 		delete(p.endpoints, m.id)
+		delete(p.capacities, m.id)
 		delete(p.groups.ofEndpoint, m.id)
 	case listConfirmed:
 		p.changed = p.changed || !p.list.confirmed
@@ -115,6 +120,7 @@
 			seconds:          round.seconds,
 			silenceLimit:     round.silenceLimit,
 			allReported:      p.allConnected,
+			maxServedRate:    p.maxServedRate(id),
 		})
 	}
 	smooth(&p.fleet.failureRate, failureRate)
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,6 +24,7 @@
 	EndpointActors         int     // endpoints whose state is retained
 	Tables                 int     // tables in use
 	QueuedRequests         int     // requests queued, as reported by the endpoints
+	LimitedReports         int     // load reports that were limited to what is plausible, since the start
 }
 
 // State returns the instance's view of the fleet as of the last Step. It changes nothing, and repeated calls return the
@@ -39,6 +40,7 @@
 		AdmittedRate:   pl.admittedRate,
 		EndpointActors: len(in.endpoints.order),
 		Tables:         len(ch.replicas) * len(ch.classSets),
+		LimitedReports: pl.limitedReports,
 	}
 	for _, stream := range ch.streams {
 		s.UnacknowledgedMessages += len(stream.unacknowledged)
--- a/proxyserver/stats.go
+++ b/proxyserver/stats.go
@@ -52,6 +52,7 @@
 		zap.Int("queued_requests", state.QueuedRequests),
 		zap.Int("endpoint_actors", state.EndpointActors),
 		zap.Int("tables", state.Tables),
+		zap.Int("limited_reports", state.LimitedReports),
 
 		zap.Int64("list_version", int64(c.endpoints.version)),
 		zap.Int("watches", len(c.watcher.watches)),
