A registry's list that arrives in pieces is read to its end

A registry whose list takes longer than the timeout (2 s) to arrive is never read: no drain and no new endpoint is learned.

Cause: a request to a registry had a fixed time in all. The next poll, at each peer in turn, reads its response from the beginning.

Change: a call ends when the peer is silent for the timeout, by the bytes of the connection (httpclient.WithReadHook, which now also works with connections that are used again), or when it takes longer than a limit. The limit starts at the timeout, doubles each time all peers were slow, up to a minute, and follows the time that responses take. Why it works: the limit passes the time that the list takes after a few polls, and stays above it.

What it must not cost: an endless response holds another peer back for the timeout, as before; a silent peer is given up after it.

--- a/config/sections.go
+++ b/config/sections.go
@@ -50,7 +50,7 @@
 	Deltas           bool     `json:"deltas"` // request deltas and verify them by the registry's hash
 	XML              bool     `json:"xml"`
 	PollInterval     Duration `json:"poll"`    // 0: 5 s
-	Timeout          Duration `json:"timeout"` // timeout of a request; 0: 2 s
+	Timeout          Duration `json:"timeout"` // a peer may be silent for this long during a request; 0: 2 s
 	MaxResponseBytes int      `json:"most"`    // 0: 32 MiB
 
 	// Keys of the metadata from which the fields of the endpoint list are read; empty: zone, weight, pod, machine.
--- a/httpclient/transport.go
+++ b/httpclient/transport.go
@@ -18,17 +18,13 @@
 		if callCtx, ok := ctx.Value(callKey{}).(context.Context); ok {
 			ctx = callCtx
 		}
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return withHook(ctx, conn), nil
+		return dialer.DialContext(ctx, network, address)
 	}
 	return perCallTransport{&http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		ReadBufferSize:     readBufferBytes,
-		DialContext:        dial,
+		DialContext:        HookReads(dial),
 	}}
 }
 
--- a/registry/eureka/client.go
+++ b/registry/eureka/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"porthub/httpclient"
 	"porthub/membership"
 )
 
@@ -42,6 +43,8 @@
 	snapshotHash        uint64 // hash of the body of the last snapshot
 	observations        []membership.Observation
 	consecutiveFailures int
+	timeout             responseTimeout
+	slowestResponse     time.Duration // of the poll in progress
 }
 
 // Stats holds counters of the requests to a registry.
@@ -74,8 +77,9 @@
 		options:       options,
 		onUpdate:      onUpdate,
 		fetchRequests: make(chan struct{}, 1),
-		http: &http.Client{Timeout: options.Timeout, Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: options.Timeout}).DialContext,
+		timeout:       responseTimeout{initial: options.Timeout, current: options.Timeout},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:           httpclient.HookReads((&net.Dialer{Timeout: options.Timeout}).DialContext),
 			MaxIdleConnsPerHost:   2,
 			ResponseHeaderTimeout: options.Timeout,
 		}},
@@ -130,14 +134,17 @@
 func (c *Client) report(err error) time.Duration {
 	if err == nil {
 		c.consecutiveFailures = 0
+		c.timeout.succeeded(c.slowestResponse)
 		c.onUpdate(membership.SourceUpdate{Source: c.options.Name, Observations: c.observations})
 		return c.options.PollInterval + time.Duration(rand.Int64N(int64(c.options.PollInterval)/jitterDivisor+1))
 	}
 	c.counters.failures.Add(1)
 	c.consecutiveFailures++
+	c.timeout.failed(err)
 	var wait time.Duration // the next peer is polled without delay
 	if c.consecutiveFailures%len(c.options.Addresses) == 0 {
 		c.onUpdate(membership.SourceUpdate{Source: c.options.Name, Error: err.Error()})
+		c.timeout.allPeersFailed()
 		wait = c.backoff()
 	}
 	c.peer = (c.peer + 1) % len(c.options.Addresses)
@@ -155,6 +162,7 @@
 
 // poll updates the cache and the observations, with a delta if possible and with a snapshot otherwise.
 func (c *Client) poll(ctx context.Context) error {
+	c.slowestResponse = 0
 	if c.options.usesDeltas() && c.cache.complete {
 		applied, err := c.pollDelta(ctx)
 		if applied || err != nil {
@@ -236,9 +244,27 @@
 	}
 }
 
+// limitCall returns a context for a call that ends if no bytes arrive for Options.Timeout, or if the call takes longer than the
+// current timeout. stop must be called at the end of the call.
+func (c *Client) limitCall(ctx context.Context) (limited context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	silence := time.AfterFunc(c.options.Timeout, func() { cancel(errSilentPeer) })
+	limit := time.AfterFunc(c.timeout.current, func() { cancel(errSlowResponse) })
+	ctx = httpclient.WithReadHook(ctx, func(int) { silence.Reset(c.options.Timeout) })
+	return ctx, func() {
+		silence.Stop()
+		limit.Stop()
+		cancel(nil)
+	}
+}
+
 // get returns the body of a GET request to the current peer. The status 404 is not an error for an application or vip
 // address: the body then has no applications.
 func (c *Client) get(ctx context.Context, path string) ([]byte, error) {
+	began := time.Now()
+	defer func() { c.slowestResponse = max(c.slowestResponse, time.Since(began)) }()
+	ctx, stop := c.limitCall(ctx)
+	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.options.Addresses[c.peer]+path, nil)
 	if err != nil {
 		return nil, err
@@ -250,7 +276,7 @@
 	c.counters.requests.Add(1)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, causeOr(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxResponseBytes+1))
@@ -262,10 +288,18 @@
 		return nil, fmt.Errorf("GET %s: unexpected status %s, want 200", path, response.Status)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("GET %s: failed to read the body: %w", path, err)
+		return nil, fmt.Errorf("GET %s: failed to read the body: %w", path, causeOr(ctx, err))
 	}
 	if int64(len(body)) > c.options.MaxResponseBytes {
 		return nil, fmt.Errorf("GET %s: the body is larger than %d bytes", path, c.options.MaxResponseBytes)
 	}
 	return body, nil
 }
+
+// causeOr returns the cause of the context's cancellation, or err if it is not canceled.
+func causeOr(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
--- a/registry/eureka/options.go
+++ b/registry/eureka/options.go
@@ -14,13 +14,14 @@
 	Name string // name of the source in updates
 	// Addresses has the base URLs of the peers, such as http://127.0.0.1:8761/eureka. The client changes the peer only after
 	// a failure.
-	Addresses        []string
-	App              string // read only the instances of this application, if not empty
-	VIP              string // read only the instances of this vip address, if not empty and App is empty
-	Deltas           bool   // request deltas between snapshots; ignored with App or VIP
-	XML              bool   // request XML instead of JSON
-	PollInterval     time.Duration
-	Timeout          time.Duration // timeout of one request
+	Addresses    []string
+	App          string // read only the instances of this application, if not empty
+	VIP          string // read only the instances of this vip address, if not empty and App is empty
+	Deltas       bool   // request deltas between snapshots; ignored with App or VIP
+	XML          bool   // request XML instead of JSON
+	PollInterval time.Duration
+	// Timeout is how long a peer may be silent during a call, and how long a call may take if other peers are faster.
+	Timeout          time.Duration
 	MaxResponseBytes int64
 	// MetadataKeys maps zone, weight, pod and machine to the keys that they have in the metadata of instances.
 	MetadataKeys map[string]string
--- a/registry/eureka/registration.go
+++ b/registry/eureka/registration.go
@@ -99,6 +99,8 @@
 
 // send sends a request to a peer and returns the status code of the response. A code of 500 or above is an error.
 func (c *Client) send(ctx context.Context, peer int, method, path string, body []byte) (statusCode int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.options.Addresses[peer]+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
