While lines never end, a new watch is still tried each time one is overdue

Cause: with the fix of the list in pieces, three watches in the middle of endless lines kept another one from being started until the first had taken too long, 9 s and up to a minute later; before the fix another one was tried each 3 s. Found by thinking through what the fix costs once discovery has recovered, not on a run.

Change: the newest of three makes room for the next one when it is overdue; the two oldest go on, as they have more of their line. TestEndlessLinesOnAllWatchesAreBounded now asks for ten calls in a row instead of for a stop at three; the bound on the watches and the growth of the time that a line may take are asked for as before.

--- a/proxyserver/discovery.go
+++ b/proxyserver/discovery.go
@@ -27,7 +27,7 @@
 	watchTimeout = 4500 * time.Millisecond
 	// initialLineBytes is the initial size of the line buffer of a watch.
 	initialLineBytes = 16 << 10
-	// maxWatches bounds the watches at a time: two that receive a line in pieces, and the one that is to replace them.
+	// maxWatches bounds the watches at a time: two that receive a line in pieces, and one that may be faster.
 	maxWatches = 3
 	// maxConcurrentCalls bounds the descriptors that calls use: the watches and a snapshot.
 	maxConcurrentCalls = maxWatches + 1
--- a/proxyserver/pieces_test.go
+++ b/proxyserver/pieces_test.go
@@ -111,21 +111,25 @@
 	w.handle(ctx, nil, discoveryEvent{call: number, kind: lineOverdue})
 }
 
-// If no line ever ends, on any watch, there are no more than maxWatches of them, so that a snapshot has a descriptor. The next one
-// is started when one of them has taken too long.
+// If no line ever ends, on any watch, there are no more than maxWatches of them, so that a snapshot has a descriptor. The oldest ones
+// go on until they have taken too long, and another one is started each time that the newest is overdue: once discovery has recovered,
+// the change is read as early as from a silent one.
 func TestEndlessLinesOnAllWatchesAreBounded(t *testing.T) {
 	watcher, ctx := newWatcherWithoutCalls(t)
 	watcher.startWatch(ctx, 0)
-	for number := 1; number <= maxWatches; number++ {
+	const calls = 10
+	for number := 1; number < calls; number++ {
 		watcher.receiveLineOn(ctx, number)
-	}
-	if len(watcher.watches) != maxWatches || watcher.lastCall != maxWatches {
-		t.Fatalf("got %d watches and %d calls, want %d of each", len(watcher.watches), watcher.lastCall, maxWatches)
+		if len(watcher.watches) > maxWatches || watcher.watches[1] == nil || watcher.lastCall != number+1 {
+			t.Fatalf("got watches %v after call %d was overdue, want at most %d, with the first and another one", watcher.watches, number, maxWatches)
+		}
 	}
 	before := watcher.patience.current
+	watcher.handle(ctx, nil, discoveryEvent{call: calls, kind: watchOpened})
 	watcher.handle(ctx, nil, discoveryEvent{call: 1, kind: callFailed, err: fmt.Errorf("watch: %w", httpclient.ErrTooSlow)})
-	if newest, _ := watcher.newestWatch(); newest != maxWatches+1 || len(watcher.watches) != maxWatches {
-		t.Errorf("got watches %v after one took too long, want %d with another one", watcher.watches, maxWatches)
+	watcher.receiveLineOn(ctx, calls)
+	if watcher.watches[2] == nil || watcher.watches[calls] == nil || len(watcher.watches) != maxWatches {
+		t.Errorf("got watches %v after the first one took too long, want the two that are left and another one", watcher.watches)
 	}
 	if watcher.patience.current != 2*before {
 		t.Errorf("a line may take %s, want twice %s after one took too long", watcher.patience.current, before)
@@ -137,9 +141,11 @@
 func TestAddressChangesWithinLines(t *testing.T) {
 	watcher, ctx := newWatcherWithoutCalls(t)
 	watcher.startWatch(ctx, 0)
-	for number := 1; number <= maxWatches; number++ {
+	for number := 1; number < maxWatches; number++ {
 		watcher.receiveLineOn(ctx, number)
 	}
+	watcher.handle(ctx, nil, discoveryEvent{call: maxWatches, kind: watchOpened})
+	watcher.watches[maxWatches].receiving.Store(true)
 	watcher.setAddress(ctx, "127.0.0.1:1")
 	current := watcher.lastCall
 	if len(watcher.watches) != maxWatches || watcher.watches[current] == nil || watcher.watches[1] != nil {
--- a/proxyserver/watchevents.go
+++ b/proxyserver/watchevents.go
@@ -72,13 +72,18 @@
 	}
 }
 
-// handleOverdue starts another watch, unless a newer one is already started or there are maxWatches.
+// handleOverdue starts another watch, unless a newer one is already started. If there are maxWatches, it takes the place of the
+// overdue one: the older ones have more of their line, and a watch that is started now may be faster than all of them.
 func (w *discoveryWatcher) handleOverdue(ctx context.Context, overdue *watch, number int) {
 	overdue.overdue = true
-	if newest, _ := w.newestWatch(); newest == number && len(w.watches) < maxWatches {
-		w.log.Info("discovery watch overdue, starting another one")
-		w.startWatch(ctx, w.jitter(overdueJitter))
+	if newest, _ := w.newestWatch(); newest != number {
+		return
 	}
+	if len(w.watches) >= maxWatches {
+		w.cancelWatch(number)
+	}
+	w.log.Info("discovery watch overdue, starting another one")
+	w.startWatch(ctx, w.jitter(overdueJitter))
 }
 
 // handleLine handles a line of a watch. If a delta has a lower version than the one from which the watch was requested, discovery's
