Test of the read hook keeps its connection open

Seen once, under -race: the server's connection in TestReadHookReportsPartOfAChunk was no longer referenced, so that the garbage collector closed it, and the call failed.

--- a/httpclient/transport_test.go
+++ b/httpclient/transport_test.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -108,6 +109,10 @@
 		if err != nil {
 			return
 		}
+		t.Cleanup(func() { _ = conn.Close() }) // open until then, so that the chunk stays incomplete
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		time.Sleep(100 * time.Millisecond)
 		_, _ = fmt.Fprint(conn, "10\r\npart")
