A killed emulated endpoint refuses connections at once

Change: endpoints, gateways and the peers of the emulated registry close their listener themselves. Why it works: nothing listens any more when Kill returns, whether the goroutine has run or not.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -1,9 +1,13 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -254,3 +258,26 @@
 			collapsedByOne, collapsedBySum)
 	}
 }
+
+// A killed endpoint refuses connections at once, also if it is killed before the goroutine that serves its listener has run: on one
+// processor that goroutine does not run between the restart and the kill. Its listener stayed open until then, so that a connection
+// was accepted and reset, as if a request could have been executed.
+func TestKilledEndpointRefusesConnections(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	_, endpoints := newTestFleet(t, 1)
+	e := endpoints[0]
+	for range 50 {
+		e.Kill()
+		if err := e.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		e.Kill()
+		conn, err := net.Dial("tcp", e.address.text)
+		if err == nil {
+			_ = conn.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("error %v from a dial to a killed endpoint, want the connection refused", err)
+		}
+	}
+}
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -38,7 +38,7 @@
 	resumed chan struct{} // closed unless the endpoint is paused
 
 	// The process.
-	server    *http.Server
+	server    *server
 	kill      context.CancelFunc // aborts the process's handlers
 	running   bool
 	startedAt time.Duration // since the start of the run; negative if it was never restarted
@@ -124,9 +124,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/work", func(w http.ResponseWriter, r *http.Request) { e.handleWork(process, w, r) })
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, r *http.Request) { e.handleHealthCheck(process, w, r) })
-	server := &http.Server{Handler: mux, ConnState: e.trackConnection}
-	e.server = server
-	go func() { _ = server.Serve(listener) }()
+	e.server = startServer(listener, &http.Server{Handler: mux, ConnState: e.trackConnection})
 }
 
 // trackConnection counts connections and closes those beyond the limit.
@@ -162,7 +160,7 @@
 	if running {
 		// Close is called without the lock: it waits for a connection that is being accepted, and trackConnection takes
 		// the lock.
-		_ = server.Close()
+		server.Close()
 	}
 }
 
--- a/emulator/eureka/peer.go
+++ b/emulator/eureka/peer.go
@@ -39,6 +39,7 @@
 
 	registry *Registry
 	server   *http.Server
+	listener net.Listener
 
 	mu          sync.Mutex // guards the fields below
 	faults      Faults
@@ -55,12 +56,16 @@
 	}
 	p := &Peer{Addr: "http://" + listener.Addr().String() + "/eureka", registry: r}
 	p.server = &http.Server{Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: 5 * time.Second}
+	p.listener = listener
 	go func() { _ = p.server.Serve(listener) }()
 	return p, nil
 }
 
-// Close closes the peer's listener and connections.
-func (p *Peer) Close() { _ = p.server.Close() }
+// Close closes the peer's listener and connections. The server alone closes the listener only once its goroutine has run.
+func (p *Peer) Close() {
+	_ = p.listener.Close()
+	_ = p.server.Close()
+}
 
 // SetFaults replaces the injected faults.
 func (p *Peer) SetFaults(f Faults) {
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -60,7 +60,7 @@
 	running  bool
 	isolated bool // cannot reach a coordinator
 	ackFault ackFault
-	server   *http.Server
+	server   *server
 	conns    map[net.Conn]bool // open connections to the coordinator
 	stop     context.CancelFunc
 
@@ -113,9 +113,7 @@
 	g.stats = newReportStats()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", g.handle)
-	server := &http.Server{Handler: mux}
-	g.server = server
-	go func() { _ = server.Serve(listener) }() // ends when Kill closes the server
+	g.server = startServer(listener, &http.Server{Handler: mux}) // ends when Kill closes it
 	now := g.world.Now()
 	g.world.Log.TableApplied(now, now, g.Name, "", g.tables.Snapshot)
 	ctx, stop := context.WithCancel(context.Background())
@@ -144,7 +142,7 @@
 	}
 	g.running = false
 	g.stop()
-	_ = g.server.Close()
+	g.server.Close()
 	g.closeConnections()
 	return true
 }
