--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -41,6 +41,7 @@
 	"pin-growth":          pinGrowth,
 	"pin-kill":            pinKill,
 	"silent-strangers":    silentStrangers,
+	"silent-collectors":   silentCollectors,
 }
 
 func main() { os.Exit(play()) }
--- a/review/scene/proc.go
+++ b/review/scene/proc.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -125,12 +126,17 @@
 	}
 }
 
-// freePort returns a loopback address that nobody listens on.
+// freePort returns a loopback address that nobody listens on, with a port below those that systems usually give to clients, so that
+// none of them takes it meanwhile.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	need(err == nil, "no free port: %v", err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String()
+		}
+	}
+	panic(cannot{"no free port"})
 }
 
 // waitListening waits until somebody listens at an address.
