review: the strangers of case 7 say so when they may hold too few descriptors

Cause: on a machine where a process may hold few descriptors the strangers could not open enough connections, and the case would have passed for want of a disruption.

--- a/review/scene/strangercase.go
+++ b/review/scene/strangercase.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 
 // silentStrangers: strangers open connections by the hundreds, send nothing, and leave.
 func silentStrangers(s *scene) bool {
+	var own syscall.Rlimit
+	need(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) == nil && own.Cur >= 2*descriptors, "the strangers need %d descriptors of their own", 2*descriptors)
 	d := newDeployment(s)
 	d.limits = map[string]any{"connections": maxConnections, "per_address": maxConnections}
 	d.descriptors = descriptors
