membership: endpoints that cancel their registration are removed at once

Cause: membership knew only that a name was missing from a list. Three missing names and 0.3 of the list within 10 s counted as a loss by the registry, which holds endpoints that still answer. A scale-in looks the same, and each drop that had been believed counted toward the next.

Evidence: a cancellation is in the registry's deltas as DELETED with a lease renewed within its duration, an eviction there has a lease that had run out, and what a registry has lost is not there at all. The client kept only the resulting list.

Change: the client delivers the endpoints that have canceled their registration, and reads a delta while a list lacks instances that none has explained. membership removes them, also after it has held them, and does not count them toward a loss. The emulated registry states when and how an instance was removed.

--- a/emulator/eureka/encoding.go
+++ b/emulator/eureka/encoding.go
@@ -77,6 +77,7 @@
 		Status:         i.Status,
 		Lease: leaseJSON{
 			Duration:     leaseDuration,
+			Eviction:     f.unixMilliseconds(i.EvictedAt),
 			LastRenewal:  f.unixMilliseconds(i.LastRenewal),
 			Registration: f.unixMilliseconds(upSince),
 			Renewal:      leaseRenewal,
--- a/emulator/eureka/registry.go
+++ b/emulator/eureka/registry.go
@@ -42,6 +42,7 @@
 	LastChange  time.Time
 	UpSince     time.Time
 	LastRenewal time.Time
+	EvictedAt   time.Time // when the instance was removed, only in deltas
 }
 
 // change is an entry of a delta.
@@ -84,13 +85,22 @@
 	r.recordChange(action, i)
 }
 
-// Remove removes an instance if it is registered.
-func (r *Registry) Remove(app, id string) {
+// Remove removes an instance if it is registered, as if the instance had canceled a lease that it had renewed until then.
+func (r *Registry) Remove(app, id string) { r.remove(app, id, 0) }
+
+// Evict removes an instance if it is registered, as if the instance had not renewed its lease until the lease expired.
+func (r *Registry) Evict(app, id string) { r.remove(app, id, (leaseDuration+1)*time.Second) }
+
+// remove removes an instance whose lease was last renewed the given time ago.
+func (r *Registry) remove(app, id string, sinceRenewal time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if i := r.instances[key(app, id)]; i != nil {
 		delete(r.instances, key(app, id))
-		r.recordChange(actionDeleted, *i)
+		removed := *i
+		removed.EvictedAt = r.now()
+		removed.LastRenewal = removed.EvictedAt.Add(-sinceRenewal)
+		r.recordChange(actionDeleted, removed)
 	}
 }
 
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -56,7 +56,9 @@
 		}
 		delete(e.droppedAt, update.Source)
 		delete(e.massDropped, update.Source)
+		delete(e.deregistered, update.Source)
 	}
+	m.dropDeregistered(update, reported)
 	m.dropMissing(update.Source, s, reported)
 	m.endMassDrop(update.Source, reported, returned)
 	s.reported = reported
@@ -174,15 +176,30 @@
 	return true
 }
 
-// dropMissing records which endpoints a source no longer lists. In a mass drop it keeps the last observation of those that
+// dropDeregistered removes endpoints that have canceled their registration. They have left the fleet, even if the source dropped
+// them in a mass drop before it showed the cancellation.
+func (m *Membership) dropDeregistered(update SourceUpdate, reported map[policyapi.EndpointID]Observation) {
+	for _, id := range update.Deregistered {
+		e := m.endpoints[id]
+		if _, listed := reported[id]; listed || e == nil || e.deregistered[update.Source] {
+			continue
+		}
+		e.deregistered[update.Source] = true
+		e.droppedAt[update.Source] = m.now
+		delete(e.massDropped, update.Source)
+		delete(e.observations, update.Source)
+	}
+}
+
+// dropMissing records which other endpoints a source no longer lists. In a mass drop it keeps the last observation of those that
 // were up. Otherwise the endpoints have left the fleet, and their observations are deleted.
 func (m *Membership) dropMissing(name string, s *source, reported map[policyapi.EndpointID]Observation) {
 	massDrop := m.isMassDrop(name, s, reported)
 	for id := range s.reported {
-		if _, ok := reported[id]; ok {
+		e := m.endpoints[id]
+		if _, ok := reported[id]; ok || e.deregistered[name] {
 			continue
 		}
-		e := m.endpoints[id]
 		e.droppedAt[name] = m.now
 		e.massDropped[name] = massDrop && e.observations[name].Status == Up
 		if !e.massDropped[name] {
@@ -192,15 +209,20 @@
 }
 
 // isMassDrop reports whether a source that is not authoritative has dropped so many endpoints within massDropWindow that
-// the source must have lost them. At least one endpoint dropped by this poll must still answer gateways. Among those that
-// this poll drops, endpoints that were not up at the source or that an operator has drained do not count.
+// the source must have lost them. At least one endpoint dropped by this poll must still answer gateways. Endpoints that have
+// canceled their registration do not count, nor do, among those that this poll drops, endpoints that were not up at the source or
+// that an operator has drained.
 func (m *Membership) isMassDrop(name string, s *source, reported map[policyapi.EndpointID]Observation) bool {
-	missing, answering := 0, 0
+	missing, answering, canceled := 0, 0, 0
 	for id := range s.reported {
 		if _, ok := reported[id]; ok {
 			continue
 		}
 		e := m.endpoints[id]
+		if e.deregistered[name] {
+			canceled++
+			continue
+		}
 		if e.observations[name].Status != Up || e.drainReason != "" {
 			continue
 		}
@@ -211,11 +233,11 @@
 	}
 	recent := 0
 	for _, e := range m.endpoints {
-		if at, ok := e.droppedAt[name]; ok && m.now-at < massDropWindow {
+		if at, ok := e.droppedAt[name]; ok && !e.deregistered[name] && m.now-at < massDropWindow {
 			recent++
 		}
 	}
-	known := len(s.reported) + recent
+	known := len(s.reported) - canceled + recent
 	if missing == 0 || answering == 0 || !exceedsMassDropLimits(missing+recent, known) || m.settings.Authoritative[name] {
 		return false
 	}
--- a/membership/decision.go
+++ b/membership/decision.go
@@ -96,6 +96,9 @@
 	}
 	if droppedAt, ok := e.droppedAt[name]; ok {
 		last.Text = "no longer lists it"
+		if e.deregistered[name] {
+			last.Text = "has its cancellation"
+		}
 		last.At = droppedAt
 	}
 	if m.sources[name].lastError != "" {
--- a/membership/evaluate.go
+++ b/membership/evaluate.go
@@ -136,8 +136,10 @@
 		return Ready, "up at " + strings.Join(sources.up, ", ")
 	case len(sources.notUp) > 0:
 		return Waiting, "not up yet, or no longer: " + strings.Join(sources.notUp, ", ")
-	case len(sources.massDropped) > 0:
+	case len(sources.massDropped) > 0 && len(e.deregistered) == 0:
 		return m.evaluateMassDropped(e, sources.massDropped[0])
+	case len(e.deregistered) > 0:
+		return Removed, "it has canceled its registration"
 	default:
 		return Removed, "no source names it"
 	}
@@ -230,7 +232,7 @@
 
 // retainInEmptyZones prevents a zone from having no endpoint in the list while some of its endpoints answer gateways. It
 // retains those endpoints until others of the zone are ready, however many sources have dropped them, unless an
-// authoritative source has.
+// authoritative source has or they have canceled their registration.
 func (m *Membership) retainInEmptyZones() {
 	for _, zone := range m.settings.Zones {
 		for _, e := range m.retainableInZone(zone) {
@@ -255,7 +257,8 @@
 			return nil
 		}
 		removed := e.state == Removed || e.state == Waiting
-		if removed && m.isAnswering(e) && e.drainReason == "" && !m.droppedByAuthoritativeSource(e) {
+		hasLeft := e.drainReason != "" || len(e.deregistered) > 0 || m.droppedByAuthoritativeSource(e)
+		if removed && m.isAnswering(e) && !hasLeft {
 			answering = append(answering, e)
 		}
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -54,6 +54,7 @@
 	observedAt   map[string]policyapi.Microseconds // when the source last reported the endpoint
 	droppedAt    map[string]policyapi.Microseconds // when the source dropped the endpoint
 	massDropped  map[string]bool                   // the source dropped the endpoint in a mass drop
+	deregistered map[string]bool                   // the endpoint has canceled its registration at the source
 	// registryStarts has start times that result from a restart of the registry and not of the endpoint.
 	registryStarts map[string]policyapi.Microseconds
 
@@ -93,6 +94,7 @@
 		observedAt:     map[string]policyapi.Microseconds{},
 		droppedAt:      map[string]policyapi.Microseconds{},
 		massDropped:    map[string]bool{},
+		deregistered:   map[string]bool{},
 		registryStarts: map[string]policyapi.Microseconds{},
 		state:          Removed,
 		since:          m.now,
--- a/membership/observation.go
+++ b/membership/observation.go
@@ -39,7 +39,10 @@
 type SourceUpdate struct {
 	Source       string        `json:"source"`
 	Observations []Observation `json:"claims"`
-	Error        string        `json:"failed"` // set if the poll failed; earlier observations then stay in force
+	// Deregistered has endpoints that the source does not list because they have canceled their registration, for as long as the
+	// source shows that. Endpoints that it has lost, or whose lease has expired, are not among them.
+	Deregistered []policyapi.EndpointID `json:"deregistered,omitempty"`
+	Error        string                 `json:"failed"` // set if the poll failed; earlier observations then stay in force
 }
 
 // source is the state of one source.
--- a/registry/eureka/client.go
+++ b/registry/eureka/client.go
@@ -40,6 +40,8 @@
 	// The fields below are used only by the goroutine of Run.
 	peer                int // index of the current peer in options.Addresses
 	cache               Cache
+	deregistrations     deregistrations
+	deltaRead           bool   // the poll in progress has read a delta
 	snapshotHash        uint64 // hash of the body of the last snapshot
 	observations        []membership.Observation
 	consecutiveFailures int
@@ -135,7 +137,7 @@
 	if err == nil {
 		c.consecutiveFailures = 0
 		c.timeout.succeeded(c.slowestResponse)
-		c.onUpdate(membership.SourceUpdate{Source: c.options.Name, Observations: c.observations})
+		c.onUpdate(c.update())
 		return c.options.PollInterval + time.Duration(rand.Int64N(int64(c.options.PollInterval)/jitterDivisor+1))
 	}
 	c.counters.failures.Add(1)
@@ -163,6 +165,7 @@
 // poll updates the cache and the observations, with a delta if possible and with a snapshot otherwise.
 func (c *Client) poll(ctx context.Context) error {
 	c.slowestResponse = 0
+	c.deltaRead = false
 	if c.options.usesDeltas() && c.cache.complete {
 		applied, err := c.pollDelta(ctx)
 		if applied || err != nil {
@@ -170,20 +173,19 @@
 		}
 		c.counters.hashMismatches.Add(1) // a delta was lost or is stale
 	}
-	return c.pollSnapshot(ctx)
+	if err := c.pollSnapshot(ctx); err != nil {
+		return err
+	}
+	c.explainMissing(ctx)
+	return nil
 }
 
 // pollDelta fetches a delta and applies it. It returns false if the result does not have the registry's hash.
 func (c *Client) pollDelta(ctx context.Context) (applied bool, err error) {
-	body, err := c.get(ctx, "/apps/delta")
+	delta, err := c.getDelta(ctx)
 	if err != nil {
 		return false, err
 	}
-	delta, err := Parse(body)
-	if err != nil {
-		return false, err
-	}
-	c.counters.deltas.Add(1)
 	if !c.cache.ApplyDelta(delta) {
 		return false, nil
 	}
@@ -193,6 +195,22 @@
 	return true, nil
 }
 
+// getDelta fetches a delta and records the cancellations that it shows.
+func (c *Client) getDelta(ctx context.Context) (Applications, error) {
+	body, err := c.get(ctx, "/apps/delta")
+	if err != nil {
+		return Applications{}, err
+	}
+	delta, err := Parse(body)
+	if err != nil {
+		return Applications{}, err
+	}
+	c.counters.deltas.Add(1)
+	c.deltaRead = true
+	c.deregistrations.applyDelta(time.Now(), delta, c.cache.removed)
+	return delta, nil
+}
+
 // pollSnapshot fetches a snapshot and replaces the state by it. A body that equals that of the last snapshot is not decoded
 // again.
 func (c *Client) pollSnapshot(ctx context.Context) error {
@@ -213,7 +231,9 @@
 	if err := c.checkHash(snapshot); err != nil {
 		return err
 	}
+	before := c.cache.instances
 	c.cache.ApplySnapshot(snapshot)
+	c.deregistrations.missing(time.Now(), before, c.cache.instances)
 	c.snapshotHash = hash
 	c.observations = c.options.Observations(snapshot.Instances)
 	return nil
