proxyserver: the bytes held for all peers together are bounded

Cause: each connection had a limit on its incomplete message and on its unsent bytes, all connections together had none. Each piece of a message had all of it copied and parsed again.

Change: package inbound counts the bytes that are held for all connections, within 1/16 of the configured memory for incomplete messages and 1/4 for unsent bytes. At the limit the connections that have held the most for the longest without completing a message are closed. resp.Parser goes on where the last piece ended. The heap gets half of the memory and not two thirds: the program itself takes a third of 48 MB.

FuzzParse compares Parser with Parse.

--- a/cmd/porthub/node.go
+++ b/cmd/porthub/node.go
@@ -137,11 +137,10 @@
 	// extraProcessors is added to GOMAXPROCS for the event loop, which waits in the kernel most of the time: with a limit of one core it
 	// would otherwise occupy the only processor while it waits.
 	extraProcessors = 1
-	// heapNumerator and heapDenominator define the fraction of the memory limit that is available to the heap. The remaining third is for
-	// memory that the garbage collector does not manage.
-	heapNumerator   = 2
-	heapDenominator = 3
-	bytesPerMB      = 1 << 20
+	// heapDivisor defines the fraction of the memory limit that is available to the heap. The rest is for memory that the garbage
+	// collector does not manage: the program itself takes a third of the smallest limit, 48 MB.
+	heapDivisor = 2
+	bytesPerMB  = 1 << 20
 )
 
 // applyLimits applies the configured limits on cores and memory to the Go runtime. A limit of 0 leaves the runtime's default.
@@ -150,6 +149,6 @@
 		runtime.GOMAXPROCS(extraProcessors + int(math.Ceil(limits.Cores)))
 	}
 	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(limits.MemoryMB * bytesPerMB * heapNumerator / heapDenominator))
+		debug.SetMemoryLimit(int64(limits.MemoryMB * bytesPerMB / heapDivisor))
 	}
 }
--- a/imports_test.go
+++ b/imports_test.go
@@ -33,7 +33,7 @@
 
 // layers are the rows of the diagram in docs/architecture.md, with the lowest layer first.
 var layers = [][]string{
-	{"policyapi", "policylog", "resp", "http1", "mailbox", "httpclient", "clock", "testutil"},
+	{"policyapi", "policylog", "resp", "http1", "inbound", "mailbox", "httpclient", "clock", "testutil"},
 	{"policy", "routing", "membership", "recovery", "loadreport", "degradation", "solver", "simwire"},
 	{"coordinator", "xds", "solver/fleets", "proxyproto"},
 	{"client", "xdsfile", "xdspoll", "registry/file", "registry/eureka", "healthcheck", "config", "capture", "expectation"},
--- a/proxyserver/connections.go
+++ b/proxyserver/connections.go
@@ -5,8 +5,10 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"porthub/inbound"
 	"porthub/policyapi"
 	"porthub/proxyproto"
+	"porthub/resp"
 )
 
 // silenceTimeout is the time after which a stream counts as silent if an acknowledgement is pending and nothing has been
@@ -19,6 +21,9 @@
 type connection struct {
 	conn            gnet.Conn
 	session         proxyproto.Session
+	parser          resp.Parser
+	received        *inbound.Buffer
+	unsent          *inbound.Account
 	acceptedAt      time.Time
 	receivedAt      time.Time // when bytes last arrived
 	ackPendingSince time.Time // start of the present or last period with a pending acknowledgement
@@ -41,6 +46,8 @@
 	loop := conn.EventLoop()
 	s.loop.CompareAndSwap(nil, &loop)
 	c := &connection{conn: conn, acceptedAt: time.Now()}
+	c.received = s.received.NewBuffer(func() { s.closeOverBudget(c) })
+	c.unsent = s.unsent.NewAccount(func() { s.closeOverBudget(c) })
 	conn.SetContext(c)
 	s.connections++
 	s.counters.open.Store(int64(s.connections))
@@ -61,6 +68,12 @@
 	return nil, gnet.None
 }
 
+// closeOverBudget closes a connection that has held many bytes for long, so that the bytes of all peers stay within the limit.
+func (s *server) closeOverBudget(c *connection) {
+	s.counters.overBudget.Add(1)
+	s.closeConnection(c)
+}
+
 // OnClose reports the end of a stream to the owner.
 func (s *server) OnClose(conn gnet.Conn, _ error) gnet.Action {
 	c, is := conn.Context().(*connection)
@@ -68,6 +81,9 @@
 		return gnet.None
 	}
 	c.closed = true
+	c.received.Close()
+	c.unsent.Close()
+	delete(s.unsentConnections, c)
 	s.connections--
 	s.counters.open.Store(int64(s.connections))
 	if c.session.Role == proxyproto.Stream {
--- a/proxyserver/coordinator.go
+++ b/proxyserver/coordinator.go
@@ -13,6 +13,7 @@
 
 	"porthub/clock"
 	"porthub/healthcheck"
+	"porthub/inbound"
 	"porthub/mailbox"
 	"porthub/policyapi"
 	"porthub/proxyproto"
@@ -92,11 +93,19 @@
 		mailbox:        c.mailbox,
 		log:            log,
 		maxConnections: maxConnections,
+		received:       memoryBudget(cfg.Limits, receivedDivisor, minReceivedBytes),
+		unsent:         memoryBudget(cfg.Limits, unsentDivisor, minUnsentBytes),
 		validator:      validator,
 	})
 	return c, err
 }
 
+// memoryBudget returns a budget of a fraction of the memory limit.
+func memoryBudget(limits proxyproto.Limits, divisor float64, minimum int) *inbound.Budget {
+	fraction := min(limits.MemoryMB*bytesPerMB/divisor, math.MaxInt32)
+	return inbound.NewBudget(max(minimum, int(fraction)))
+}
+
 // cachedList returns the endpoint list of the configuration as an update of kind Cached.
 func (c *Coordinator) cachedList() policyapi.EndpointUpdate {
 	cached := c.cfg.CachedList.Update
--- a/proxyserver/listen.go
+++ b/proxyserver/listen.go
@@ -19,6 +19,7 @@
 	s.booted = make(chan struct{})
 	s.ended = make(chan error, 1)
 	s.streams = map[*connection]bool{}
+	s.unsentConnections = map[*connection]bool{}
 	// The event loop runs until close is called or an error occurs.
 	go func() {
 		// A single event loop accepts connections in its own goroutine, one at a time, so that OnOpen can enforce the limit at
--- a/proxyserver/server.go
+++ b/proxyserver/server.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
 
+	"porthub/inbound"
 	"porthub/mailbox"
 	"porthub/policyapi"
 	"porthub/proxyproto"
@@ -26,6 +27,13 @@
 	maxUnidentifiedBytes = 4 << 10
 	// maxUnsentBytes bounds the bytes that a peer has not accepted yet. No message is larger than half of it.
 	maxUnsentBytes = 2 * proxyproto.MaxMessageBytes
+	// receivedDivisor and unsentDivisor define the fractions of the memory limit that the incomplete messages of all peers, and the bytes
+	// that all peers have not accepted yet, may take. minReceivedBytes and minUnsentBytes are the least values, also without a memory limit.
+	receivedDivisor  = 16
+	unsentDivisor    = 4
+	minReceivedBytes = 4 * proxyproto.MaxMessageBytes
+	minUnsentBytes   = 16 * proxyproto.MaxMessageBytes
+	bytesPerMB       = 1 << 20
 	// minLogInterval is the minimum time between two log lines that peers can cause.
 	minLogInterval = time.Second
 	// maxLoggedMessage is the maximum number of bytes of a peer's message that are logged.
@@ -41,6 +49,8 @@
 	mailbox        *mailbox.Mailbox[input]        // mailbox of the owner
 	log            *zap.Logger                    // used by any goroutine
 	maxConnections int                            // fixed
+	received       *inbound.Budget                // bytes of incomplete messages; fixed
+	unsent         *inbound.Budget                // bytes that peers have not accepted yet; fixed
 	engine         gnet.Engine                    // set before booted is closed
 	booted         chan struct{}                  // closed once the server listens
 	ended          chan error                     // receives the result of the event loop
@@ -52,7 +62,8 @@
 	connections       int
 	unidentified      []*connection // oldest first; may include connections that are identified or closed by now
 	streams           map[*connection]bool
-	backlog           []input // inputs for the owner that its urgent lane has not accepted yet
+	unsentConnections map[*connection]bool // connections whose peers have not accepted all bytes
+	backlog           []input              // inputs for the owner that its urgent lane has not accepted yet
 	malformedLoggedAt time.Time
 
 	counters counters
@@ -63,6 +74,7 @@
 	open        atomic.Int64 // open connections
 	rejected    atomic.Int64 // rejected connections
 	evicted     atomic.Int64 // connections closed in favor of a new one
+	overBudget  atomic.Int64 // connections closed because the bytes held for all peers exceeded a limit
 	stalled     atomic.Int64 // connections closed because the peer did not read
 	malformed   atomic.Int64 // malformed messages that were ignored
 	lostReports atomic.Int64 // load reports dropped because the owner's lane was full
@@ -82,41 +94,55 @@
 	if loop := s.loop.Load(); loop != nil {
 		_ = (*loop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 			s.flushBacklog()
-			s.closeLateUnidentified(time.Now())
-			s.updateCounters()
+			now := time.Now()
+			s.closeLateUnidentified(now)
+			s.updateCounters(now)
 			return nil
 		}))
 	}
 	return tickInterval, gnet.None
 }
 
-// updateCounters counts the pending acknowledgements and unsent bytes of all streams.
-func (s *server) updateCounters() {
+// updateCounters counts the pending acknowledgements of all streams and the unsent bytes of all connections.
+func (s *server) updateCounters(now time.Time) {
 	pendingAcks := 0
-	unsentBytes := 0
 	for c := range s.streams {
 		pendingAcks += c.session.PendingAcks()
-		unsentBytes += c.conn.OutboundBuffered()
+	}
+	for c := range s.unsentConnections {
+		s.updateUnsent(c, now)
 	}
 	s.counters.pendingAcks.Store(int64(pendingAcks))
-	s.counters.unsentBytes.Store(int64(unsentBytes))
+	s.counters.unsentBytes.Store(int64(s.unsent.Held()))
+}
+
+// updateUnsent counts the bytes that a peer has not accepted yet.
+func (s *server) updateUnsent(c *connection, now time.Time) {
+	if c.closed {
+		return
+	}
+	unsent := c.conn.OutboundBuffered()
+	c.unsent.Set(now, unsent)
+	if unsent > 0 {
+		s.unsentConnections[c] = true
+	} else {
+		delete(s.unsentConnections, c)
+	}
 }
 
 // OnTraffic reads all complete messages from a connection.
 func (s *server) OnTraffic(conn gnet.Conn) gnet.Action {
 	c, is := conn.Context().(*connection)
-	if !is {
+	if !is || c.received.Evicted() || c.unsent.Evicted() {
 		return gnet.Close
 	}
-	buf, err := conn.Peek(-1)
+	chunk, err := conn.Next(-1)
 	if err != nil {
 		return gnet.Close
 	}
 	c.receivedAt = time.Now()
-	taken, action := s.receive(c, buf)
-	if taken > 0 { // Discard(0) would discard everything, including the first part of an incomplete message
-		_, _ = conn.Discard(taken)
-	}
+	taken, action := s.receive(c, c.received.Add(c.receivedAt, chunk))
+	c.received.Consume(c.receivedAt, taken)
 	return action
 }
 
@@ -127,7 +153,7 @@
 		if c.session.Role == proxyproto.Unidentified {
 			limits.Bytes = maxUnidentifiedBytes
 		}
-		words, size, err := resp.Parse(buf[taken:], limits)
+		words, size, err := c.parser.Parse(buf[taken:], limits)
 		if err != nil {
 			return taken, s.closeRejected(c, err)
 		}
@@ -155,6 +181,7 @@
 		if _, err := c.conn.Write(reply); err != nil || c.conn.OutboundBuffered() > maxUnsentBytes {
 			return gnet.Close
 		}
+		s.updateUnsent(c, c.receivedAt)
 	case event != nil:
 		s.deliver(c, event)
 	}
@@ -212,7 +239,9 @@
 	if conn.OutboundBuffered() > maxUnsentBytes {
 		s.counters.stalled.Add(1)
 		_ = c.conn.EventLoop().Close(c.conn)
+		return
 	}
+	s.updateUnsent(c, time.Now())
 }
 
 // closeConnection closes a connection. It may be called from any goroutine.
--- a/proxyserver/stats.go
+++ b/proxyserver/stats.go
@@ -68,6 +68,8 @@
 		zap.Int64("lost_reports", counters.lostReports.Load()),
 		zap.Int64("evicted", counters.evicted.Load()),
 		zap.Int64("stalled", counters.stalled.Load()),
+		zap.Int64("over_budget", counters.overBudget.Load()),
+		zap.Int("received_bytes", c.server.received.Held()),
 		zap.Int("resident_kb", residentKB()),
 		zap.Int("descriptors", openDescriptors()))
 	c.stats = stats{since: now}
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -30,33 +30,70 @@
 // size is 0 and the error is nil. The words are slices of the buffer and only valid as long as the buffer is not modified. Errors
 // have the type *Error. Lengths are checked against the limits before the announced bytes have arrived.
 func Parse(buf []byte, limits Limits) (words [][]byte, size int, err error) {
-	count, at, err := parseLength(buf, 0, arrayPrefix, limits.Words)
-	if err != nil || at == 0 {
-		return nil, 0, err
-	}
-	if count == 0 {
-		return nil, 0, &Error{"the array has no words"}
-	}
-	for range count {
-		length, start, err := parseLength(buf, at, bulkStringPrefix, limits.Bytes-at)
-		if err != nil || start == 0 {
+	var p Parser
+	return p.Parse(buf, limits)
+}
+
+// Parser parses messages that arrive in pieces, without reading again the words that earlier pieces have completed. The zero value
+// is ready to use.
+type Parser struct {
+	count int    // number of words of the message; 0 until it is known
+	words []span // complete words of the message
+	next  int    // index after them
+}
+
+// span is the position of a word in the buffer.
+type span struct{ start, end int }
+
+// Parse does the same as the function Parse. While a message is incomplete, the next call must be given the same bytes with
+// more bytes appended, and the same limits.
+func (p *Parser) Parse(buf []byte, limits Limits) (words [][]byte, size int, err error) {
+	if p.count == 0 {
+		count, next, err := parseLength(buf, 0, arrayPrefix, limits.Words)
+		if err != nil || next == 0 {
 			return nil, 0, err
 		}
-		end := start + length
-		next := end + len(lineEnd)
-		if next > limits.Bytes {
-			return nil, 0, &Error{fmt.Sprintf("the message is longer than %d bytes", limits.Bytes)}
+		if count == 0 {
+			return nil, 0, &Error{"the array has no words"}
 		}
-		if len(buf) > end && buf[end] != '\r' || len(buf) > end+1 && buf[end+1] != '\n' {
-			return nil, 0, &Error{"missing line end after a string"}
-		}
-		if len(buf) < next {
-			return nil, 0, nil
+		p.count = count
+		p.next = next
+	}
+	for len(p.words) < p.count {
+		complete, err := p.parseWord(buf, limits)
+		if err != nil || !complete {
+			return nil, 0, err
 		}
-		words = append(words, buf[start:end])
-		at = next
 	}
-	return words, at, nil
+	words = make([][]byte, p.count)
+	for i, word := range p.words {
+		words[i] = buf[word.start:word.end]
+	}
+	size = p.next
+	*p = Parser{words: p.words[:0]}
+	return words, size, nil
+}
+
+// parseWord parses the next word of the message and reports whether it is complete.
+func (p *Parser) parseWord(buf []byte, limits Limits) (complete bool, err error) {
+	length, start, err := parseLength(buf, p.next, bulkStringPrefix, limits.Bytes-p.next)
+	if err != nil || start == 0 {
+		return false, err
+	}
+	end := start + length
+	next := end + len(lineEnd)
+	if next > limits.Bytes {
+		return false, &Error{fmt.Sprintf("the message is longer than %d bytes", limits.Bytes)}
+	}
+	if len(buf) > end && buf[end] != '\r' || len(buf) > end+1 && buf[end+1] != '\n' {
+		return false, &Error{"missing line end after a string"}
+	}
+	if len(buf) < next {
+		return false, nil
+	}
+	p.words = append(p.words, span{start, end})
+	p.next = next
+	return true, nil
 }
 
 // parseLength parses, starting at an index of buf, the prefix of a type, an integer from 0 to maximum and a line end. It returns
--- a/resp/resp_test.go
+++ b/resp/resp_test.go
@@ -57,10 +57,14 @@
 	f.Add([]byte("*99999\r\n$-1\r\n"), uint8(1))
 	parseAll := func(parts [][]byte) (out []string) {
 		var buf []byte
+		var parser Parser
 		for _, part := range parts {
 			buf = append(buf, part...)
 			for {
-				words, size, err := Parse(buf, limits)
+				words, size, err := parser.Parse(buf, limits)
+				if once, n, onceErr := Parse(buf, limits); n != size || (err == nil) != (onceErr == nil) || len(once) != len(words) {
+					f.Errorf("the parser returns %q, %d, %v and Parse %q, %d, %v; want the same", words, size, err, once, n, onceErr)
+				}
 				if err != nil {
 					return append(out, "error")
 				}
