daemon: the bytes held for all peers together are bounded

Cause: each connection had limits, all together had none, and the process had no memory limit. Each piece had the whole request copied and its head parsed again. A parsed header field takes many times its bytes. An error quoted the whole request, several times over.

FuzzParseRequest runs the parser in pieces.

--- a/cmd/porthub/node.go
+++ b/cmd/porthub/node.go
@@ -149,6 +149,9 @@
 		runtime.GOMAXPROCS(extraProcessors + int(math.Ceil(limits.Cores)))
 	}
 	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(limits.MemoryMB * bytesPerMB / heapDivisor))
+		limitHeap(limits.MemoryMB)
 	}
 }
+
+// limitHeap makes the garbage collector keep the heap within its fraction of a memory limit.
+func limitHeap(memoryMB float64) { debug.SetMemoryLimit(int64(memoryMB * bytesPerMB / heapDivisor)) }
--- a/cmd/porthub/serve.go
+++ b/cmd/porthub/serve.go
@@ -45,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(float64(cfg.Limits.MemoryMB))
 	log, err := newLogger(cfg.LogLevel)
 	if err != nil {
 		return err
--- a/config/config.go
+++ b/config/config.go
@@ -93,7 +93,7 @@
 		Trace:        Trace{SampleRatio: 1},
 		Admission:    "rate",
 		Solver:       Solver{Enabled: true},
-		Limits:       Limits{Connections: 30000, PerAddress: 30000},
+		Limits:       Limits{Connections: 30000, PerAddress: 30000, MemoryMB: 1024},
 		Capture:      Capture{Enabled: true, MaxBytes: 1 << 30, SegmentBytes: 64 << 20, MaxAge: hour},
 		Recovery:     Recovery{Enabled: true},
 	}
--- a/config/sections.go
+++ b/config/sections.go
@@ -142,6 +142,7 @@
 	Connections int `json:"connections"` // connections from all addresses
 	PerAddress  int `json:"per_address"` // connections from one address
 	Requests    int `json:"requests"`    // requests on one connection; 0: no limit
+	MemoryMB    int `json:"memory_mb"`   // memory of the process, in MiB; it bounds the bytes that are held for all peers together
 }
 
 // Capture configures the recording of the core's inputs and orders.
--- a/config/validate.go
+++ b/config/validate.go
@@ -10,6 +10,10 @@
 	maxClasses      = 64   // a class set is a 64-bit mask
 	maxWriters      = 64   // more concurrent writes are no faster on any disk
 	minSegmentBytes = 4096 // a segment holds at least one block
+
+	// minMemoryMB leaves room for the program and for the largest requests; maxMemoryMB keeps numbers of bytes within their type.
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
 	// minMessageLimit allows the messages of a drain to a gateway in addition to its regular updates.
 	minMessageLimit = 4
 )
@@ -187,6 +191,8 @@
 	v.require(l.Connections > 0 && l.PerAddress > 0 && l.Requests >= 0, "limits",
 		fmt.Sprintf("has %d connections, %d from an address, %d requests", l.Connections, l.PerAddress, l.Requests),
 		"connections must be 1 or more, requests 0 or more")
+	v.require(l.MemoryMB >= minMemoryMB && l.MemoryMB <= maxMemoryMB, "limits.memory_mb", fmt.Sprintf("is %d", l.MemoryMB),
+		fmt.Sprintf("it must be %d to %d", minMemoryMB, maxMemoryMB))
 }
 
 func (v validator) trace() {
--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -11,22 +11,52 @@
 
 	"porthub/coordinator"
 	"porthub/http1"
+	"porthub/inbound"
 )
 
 // Limits on the resources that one peer can use.
 const (
 	maxHeadBytes   = 16 << 10        // of a request's head: the request line and the headers
 	maxBodyBytes   = 4 << 20         // of a request's body; a report on a thousand endpoints needs a tenth of this
+	maxHeadFields  = 128             // of a request; a parsed field takes many times its bytes
 	maxUnsentBytes = 1 << 20         // of responses that the peer has not read yet
 	requestTimeout = 5 * time.Second // from the first byte of a request until it is complete
+
+	// maxPipelinedBytes bounds what a peer sends before the previous request is answered, beyond what one read returns.
+	maxPipelinedBytes = 2 * readBufferBytes
+	// maxTurnBytes is how much of a connection's requests is served before other connections are. It is more than one read returns, so
+	// that requests do not accumulate.
+	maxTurnBytes = 2 * readBufferBytes
+	// maxReasonBytes bounds the text of an error, which may quote the request.
+	maxReasonBytes = 512
+)
+
+// Limits on the resources that all peers can use together, as fractions of limits.memory_mb.
+const (
+	receivedDivisor = 16 // incomplete requests, and requests sent before the previous one was answered
+	requestsDivisor = 32 // bodies of requests that are being processed, which take several times their size while they are decoded
+	unsentDivisor   = 4  // responses that peers have not read yet
+	bytesPerMB      = 1 << 20
+	// smallRequestBytes is the size of a body that is always accepted: acknowledgements, commands and the reports of small gateways
+	// are not delayed by large requests.
+	smallRequestBytes = 16 << 10
 )
 
+// requestLimits are the limits of one request.
+var requestLimits = http1.Limits{Head: maxHeadBytes, Body: maxBodyBytes, Fields: maxHeadFields}
+
 // connection is the state of one connection of a peer. Its event loop owns it: other goroutines use only id, gnetConn, the
 // atomic fields and, once the connection is a gateway's link, polls.
 type connection struct {
 	id             coordinator.ConnID
 	gnetConn       gnet.Conn
-	addressCount   *atomic.Int64          // number of connections from the peer's address
+	host           string           // the peer's address without the port
+	addressCount   *atomic.Int64    // number of connections from the peer's address
+	received       *inbound.Buffer  // bytes that are not read as requests yet
+	unsent         *inbound.Account // bytes of responses that the peer has not read yet
+	parser         http1.Parser     // of the incomplete request
+	bodyBytes      atomic.Int64     // of the request that is being processed
+	closed         bool
 	requestBeganAt time.Time              // when the incomplete request in the buffer began; zero if there is none
 	requests       int                    // number of requests received
 	busy           atomic.Bool            // a response is pending: the next request is not read yet
@@ -42,53 +72,91 @@
 // one was answered.
 func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
 	conn, ok := c.Context().(*connection)
-	if !ok {
+	if !ok || conn.received.Evicted() || conn.unsent.Evicted() {
 		return gnet.Close
 	}
+	chunk, err := c.Next(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	now := time.Now()
+	s.updateUnsent(conn, now)
 	if c.OutboundBuffered() > maxUnsentBytes {
 		return gnet.Close // the peer does not read its responses
 	}
-	for !conn.busy.Load() {
-		if action, more := s.readRequest(c, conn); !more {
-			return action
+	taken, action := s.readRequests(conn, now, conn.received.Add(now, chunk))
+	conn.received.Consume(now, taken)
+	if conn.busy.Load() && conn.received.Len() > maxPipelinedBytes {
+		s.countRejection(conn.host, "requests are sent without waiting for responses")
+		return gnet.Close
+	}
+	return action
+}
+
+// readRequests reads and serves the requests at the front of a buffer, and returns their total size.
+func (s *server) readRequests(conn *connection, now time.Time, buffer []byte) (taken int, action gnet.Action) {
+	for taken < maxTurnBytes {
+		if conn.busy.Load() || conn.closed {
+			return taken, gnet.None
+		}
+		size, action := s.readRequest(conn, now, buffer[taken:])
+		if size == 0 {
+			return taken, action
 		}
+		taken += size
 	}
-	if c.InboundBuffered() > maxHeadBytes+maxBodyBytes {
-		return gnet.Close // the peer keeps sending without waiting for responses
+	if taken < len(buffer) {
+		_ = conn.gnetConn.Wake(nil) // continues after other connections
 	}
-	return gnet.None
+	return taken, gnet.None
 }
 
-// readRequest reads and serves the connection's next request. more is false if no complete request is buffered or the
-// connection must be closed.
-func (s *server) readRequest(c gnet.Conn, conn *connection) (action gnet.Action, more bool) {
-	buffered, err := c.Peek(-1)
-	if err != nil || len(buffered) == 0 {
+// readRequest reads and serves the request at the front of a buffer, and returns its size. The size is 0 if the request is incomplete or
+// the connection must be closed.
+func (s *server) readRequest(conn *connection, now time.Time, buffer []byte) (size int, action gnet.Action) {
+	if len(buffer) == 0 {
 		conn.requestBeganAt = time.Time{}
-		return gnet.None, false
+		return 0, gnet.None
 	}
 	if conn.requestBeganAt.IsZero() {
-		conn.requestBeganAt = time.Now()
+		conn.requestBeganAt = now
 	}
-	request, body, size, err := http1.ParseRequest(buffered, http1.Limits{Head: maxHeadBytes, Body: maxBodyBytes})
+	request, body, size, err := conn.parser.ParseRequest(buffer, requestLimits)
 	if err != nil {
-		return s.rejectMalformed(c, err), false
+		return 0, s.rejectMalformed(conn.gnetConn, err)
 	}
 	if size == 0 {
-		return s.checkRequestTimeout(conn), false
-	}
-	if _, err := c.Discard(size); err != nil {
-		return gnet.Close, false
+		return 0, s.checkRequestTimeout(conn)
 	}
 	conn.requestBeganAt = time.Time{}
 	conn.requests++
 	if limit := s.daemon.config.Limits.Requests; limit > 0 && conn.requests > limit {
-		return s.rejectAndClose(c, http.StatusTooManyRequests, fmt.Sprintf("the limit is %d requests per connection: open another", limit)), false
+		return 0, s.rejectAndClose(conn.gnetConn, http.StatusTooManyRequests, fmt.Sprintf("the limit is %d requests per connection: open another", limit))
 	}
 	s.serve(conn, request, body)
-	return gnet.None, true
+	return size, gnet.None
+}
+
+// updateUnsent counts the bytes of responses that the peer has not read yet.
+func (s *server) updateUnsent(conn *connection, now time.Time) {
+	conn.unsent.Set(now, conn.gnetConn.OutboundBuffered())
 }
 
+// admitBody counts the body of a request that is to be processed. It returns false if the bodies of all requests that are being processed
+// would exceed their limit.
+func (s *server) admitBody(conn *connection, size int) bool {
+	total := s.bodyBytes.Add(int64(size))
+	conn.bodyBytes.Store(int64(size))
+	if size <= smallRequestBytes || total <= s.maxBodyBytes {
+		return true
+	}
+	s.releaseBody(conn)
+	return false
+}
+
+// releaseBody ends the count of the request that is being processed.
+func (s *server) releaseBody(conn *connection) { s.bodyBytes.Add(-conn.bodyBytes.Swap(0)) }
+
 // rejectMalformed rejects a request that can't be parsed and closes the connection.
 func (s *server) rejectMalformed(c gnet.Conn, err error) gnet.Action {
 	var malformed *http1.Error
@@ -117,9 +185,14 @@
 
 // respond sends a response and allows the connection's next request to be read. It may be called by any goroutine.
 func (s *server) respond(conn *connection, status int, contentType string, body []byte) {
+	s.releaseBody(conn)
 	conn.busy.Store(false)
 	_ = conn.gnetConn.AsyncWrite(http1.EncodeResponse(status, contentType, body, false), func(c gnet.Conn, err error) error {
-		if err == nil && c != nil && c.InboundBuffered() > 0 {
+		if err != nil || conn.closed {
+			return nil
+		}
+		s.updateUnsent(conn, time.Now())
+		if conn.received.Len() > 0 {
 			return c.Wake(nil)
 		}
 		return nil
--- a/daemon/doc.go
+++ b/daemon/doc.go
@@ -3,7 +3,8 @@
 // steps it with the inputs that have arrived. Files, health checks, registries and saved state are handled by other goroutines,
 // which never block the core.
 //
-// All queues and buffers are bounded: a connection's buffer by the maximum request size, the mailbox by its capacity (a request
+// All queues and buffers are bounded: a connection's buffers by the maximum request size, those of all connections together by fractions
+// of the configured memory (package inbound), the mailbox by its capacity (a request
 // is rejected with 503 and may be retried if its lane is full, or if another goroutine takes its place in the lane at the same
 // moment), the publications to a gateway by one pending publication, and health checks by the number of concurrent checks.
 //
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -42,6 +42,10 @@
 func (s *server) serve(conn *connection, request *http.Request, body []byte) {
 	conn.busy.Store(true)
 	x := &exchange{server: s, connection: conn, request: request, body: body}
+	if !s.admitBody(conn, len(body)) {
+		x.fail(http.StatusServiceUnavailable, busyReason)
+		return
+	}
 	daemon := s.daemon
 	switch request.Method + " " + request.URL.Path {
 	case "POST " + xds.EndpointPath:
@@ -69,12 +73,21 @@
 	x.server.respond(x.connection, status, contentType, body)
 }
 
-// fail responds with an error and counts a rejection.
+// fail responds with an error and counts a rejection. It must be called by the connection's event loop.
 func (x *exchange) fail(status int, reason string) {
+	reason = truncate(reason, maxReasonBytes)
 	x.server.countRejection(x.request.Method+" "+x.request.URL.Path, reason)
 	x.respond(status, textType, []byte(reason+"\n"))
 }
 
+// truncate returns at most the first bytes of a text, without a part of a character at the end.
+func truncate(text string, maxBytes int) string {
+	if len(text) <= maxBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxBytes], "")
+}
+
 // query queues an operation with enqueue and responds with its result.
 func (x *exchange) query(enqueue func(mailboxItem) bool, run operation) {
 	item := mailboxItem{query: run, reply: func(text []byte) { x.respond(http.StatusOK, jsonType, text) }}
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -225,3 +225,15 @@
 		}
 	}
 }
+
+// blockCore keeps the goroutine that owns the core busy until the returned function is called. It closes blocked once it does.
+func (r *testDaemon) blockCore(blocked chan struct{}) (unblock func()) {
+	r.t.Helper()
+	release := make(chan struct{})
+	r.daemon.mailbox.PutUrgent(mailboxItem{query: func(*coordinator.Core) []byte {
+		close(blocked)
+		<-release
+		return nil
+	}})
+	return sync.OnceFunc(func() { close(release) })
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -16,6 +16,7 @@
 
 	"porthub/coordinator"
 	"porthub/http1"
+	"porthub/inbound"
 )
 
 // Limits on how long the listener may take to start and to stop.
@@ -24,8 +25,9 @@
 	stopTimeout   = 700 * time.Millisecond
 )
 
-// readBufferBytes is the maximum number of bytes that one read of a connection returns.
-const readBufferBytes = 64 << 10
+// readBufferBytes is the maximum number of bytes that one read of a connection returns. The event loop reads from its other connections
+// before it reads from the same one again.
+const readBufferBytes = 16 << 10
 
 // rejectionInterval is the minimum time between two reports of rejections to the core.
 const rejectionInterval = time.Second
@@ -47,6 +49,11 @@
 	// only polls: their end does not disconnect it.
 	links *xsync.Map[coordinator.Gateway, *connection]
 
+	received     *inbound.Budget // bytes that are not read as requests yet; fixed
+	unsent       *inbound.Budget // bytes of responses that peers have not read yet; fixed
+	maxBodyBytes int64           // bodies of requests that are being processed; fixed
+	bodyBytes    atomic.Int64
+
 	deferredReports      atomic.Int64 // load reports that were deferred with 429
 	rejected             atomic.Int64 // error responses since the last PeerRejected
 	rejectionsReportedAt atomic.Int64 // time of the last PeerRejected, in nanoseconds since 1970
@@ -61,6 +68,10 @@
 		byAddress:   xsync.NewMap[string, *atomic.Int64](),
 		links:       xsync.NewMap[coordinator.Gateway, *connection](),
 	}
+	memory := d.config.Limits.MemoryMB * bytesPerMB
+	s.received = inbound.NewBudget(memory / receivedDivisor)
+	s.unsent = inbound.NewBudget(memory / unsentDivisor)
+	s.maxBodyBytes = max(maxBodyBytes, int64(memory/requestsDivisor))
 	go func() { // ends when close stops the engine
 		s.stopped <- gnet.Run(s, "tcp://"+addr, gnet.WithMulticore(true), gnet.WithTicker(true), gnet.WithReuseAddr(true),
 			gnet.WithReadBufferCap(readBufferBytes), gnet.WithLogger(zap.NewNop().Sugar()))
@@ -123,7 +134,9 @@
 		return http1.EncodeResponse(http.StatusServiceUnavailable, "text/plain", []byte(reason+"\n"), true), gnet.Close
 	}
 	addressCount.Add(1)
-	conn := &connection{id: coordinator.ConnID(s.lastID.Add(1)), gnetConn: c, addressCount: addressCount}
+	conn := &connection{id: coordinator.ConnID(s.lastID.Add(1)), gnetConn: c, host: host, addressCount: addressCount}
+	conn.received = s.received.NewBuffer(func() { s.closeOverBudget(conn) })
+	conn.unsent = s.unsent.NewAccount(func() { s.closeOverBudget(conn) })
 	c.SetContext(conn)
 	s.connections.Store(conn.id, conn)
 	return nil, gnet.None
@@ -136,6 +149,10 @@
 	if !ok {
 		return gnet.None
 	}
+	conn.closed = true
+	conn.received.Close()
+	conn.unsent.Close()
+	s.releaseBody(conn)
 	s.connections.Delete(conn.id)
 	conn.addressCount.Add(-1)
 	if cancel := conn.cancelPoll.Load(); cancel != nil {
@@ -157,6 +174,12 @@
 	return requestTimeout / 2, gnet.None
 }
 
+// closeOverBudget closes a connection that has held many bytes for long, so that the bytes of all peers stay within the limit.
+func (s *server) closeOverBudget(conn *connection) {
+	s.countRejection(conn.host, "too many bytes are held for all peers together")
+	_ = conn.gnetConn.Close()
+}
+
 // closeConnection closes a connection, if it is still open.
 func (s *server) closeConnection(id coordinator.ConnID) {
 	if conn, ok := s.connections.Load(id); ok {
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-var limits = Limits{Head: 512, Body: 1000}
+var limits = Limits{Head: 512, Body: 1000, Fields: 10}
 
 func TestParseRequest(t *testing.T) {
 	const one = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
@@ -32,6 +32,9 @@
 		"two lengths":             {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", 400, 0},
 		"body too large":          {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n", 413, 0},
 		"head too large":          {"GET /" + strings.Repeat("a", 600), 431, 0},
+		"ten fields":              {"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:b\r\n", 9) + "\r\n", 0, 27 + 9*5},
+		"too many fields":         {"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:b\r\n", 10) + "\r\n", 431, 0},
+		"too many bare lines":     {"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:b\n", 9) + "a:b\r\n\r\n", 431, 0},
 		"complete head too large": {"GET /" + strings.Repeat("a", 600) + " HTTP/1.1\r\n\r\n", 431, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -94,12 +97,13 @@
 		complete := parseAll(stream)
 		var split []string
 		var buf []byte
+		var parser Parser
 		for rest := stream; ; {
 			n := min(len(rest), int(step)+1)
 			buf, rest = append(buf, rest[:n]...), rest[n:]
 			failed := false
 			for {
-				request, body, size, err := ParseRequest(buf, limits)
+				request, body, size, err := parser.ParseRequest(buf, limits)
 				if err != nil {
 					split, failed = append(split, "error"), true
 					break
--- a/inbound/budget.go
+++ b/inbound/budget.go
@@ -52,6 +52,7 @@
 	// The fields below are written by the owner with the budget's mutex locked, except for evicted, which any goroutine may set.
 	bytes   int
 	since   time.Time // when the bytes began to be held without progress
+	proven  bool      // the connection has completed a message
 	evicted bool
 }
 
@@ -72,12 +73,13 @@
 
 // Progress records that a message was completed: the bytes that are held now began to be held at this time.
 func (a *Account) Progress(now time.Time) {
-	if a.bytes == 0 {
+	if a.bytes == 0 && a.proven {
 		return
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	a.since = now
+	a.proven = true
 }
 
 // Evicted reports whether the connection is being closed in favor of others.
@@ -121,12 +123,21 @@
 }
 
 // evictLongestHolders evicts accounts until a part of the limit is free again, those with the most bytes for the longest time first.
+// Connections that have never completed a message precede all others.
 func (b *Budget) evictLongestHolders(now time.Time) (evicted []*Account) {
 	byCost := make([]*Account, 0, len(b.holders))
 	for a := range b.holders {
 		byCost = append(byCost, a)
 	}
-	slices.SortFunc(byCost, func(a, c *Account) int { return cmp.Compare(c.cost(now), a.cost(now)) })
+	slices.SortFunc(byCost, func(a, c *Account) int {
+		if a.proven != c.proven {
+			if c.proven {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(c.cost(now), a.cost(now))
+	})
 	for _, a := range byCost {
 		if b.held <= b.limit/remainingDenominator*remainingNumerator {
 			break
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// A peer that has completed a message before keeps its connection while others have completed none, even if it holds more.
+func TestProvenPeersAreEvictedLast(t *testing.T) {
+	budget := inbound.NewBudget(1000)
+	proven := newPeer(budget)
+	proven.buffer.Add(start, make([]byte, 10))
+	proven.buffer.Consume(start, 10)
+	proven.hold(start, 600)
+	for second := range 20 {
+		newPeer(budget).hold(start.Add(time.Duration(second)*time.Second), 200)
+	}
+	if proven.closed || budget.Evictions() == 0 || budget.Held() > 1000 {
+		t.Errorf("the proven peer is closed: %t; %d evictions, %d bytes held; want false, some, and 1000 at most", proven.closed, budget.Evictions(), budget.Held())
+	}
+}
+
 // A peer that completes messages all the time is not evicted for the beginning of the next one.
 func TestProgressKeepsAPeer(t *testing.T) {
 	budget := inbound.NewBudget(1000)
