http1, inbound: a body is not copied, and buffers grow by doubling

Cause: beside complete unsound bodies of 3.7 MB the peak of porthub serve was 109 and 126 MB of 128: each body was copied before it was known whether it is admitted, and append left garbage of several times the body.

Change: the body is a slice of the receive buffer, which is decoded before the buffer is used again. Buffers double.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -36,8 +36,8 @@
 // linesBesideFields is the number of lines of a head that are not header fields: the request line and the empty line.
 const linesBesideFields = 2
 
-// ParseRequest parses the first request in a buffer. It returns the request, a copy of its body and its size in bytes. The size
-// is 0 if the request is not complete yet. Any error is an *Error.
+// ParseRequest parses the first request in a buffer. It returns the request, its body and its size in bytes. The size is 0 if the request
+// is not complete yet. The body is a slice of the buffer and only valid as long as the buffer is not modified. Any error is an *Error.
 func ParseRequest(buf []byte, limits Limits) (request *http.Request, body []byte, size int, err error) {
 	var p Parser
 	return p.ParseRequest(buf, limits)
@@ -65,7 +65,7 @@
 		return nil, nil, 0, nil
 	}
 	request = p.request
-	body = bytes.Clone(buf[p.headSize:size])
+	body = buf[p.headSize:size]
 	*p = Parser{}
 	return request, body, size, nil
 }
--- a/inbound/buffer.go
+++ b/inbound/buffer.go
@@ -1,6 +1,9 @@
 package inbound
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Buffer holds the received bytes of a connection that are not processed yet. Bytes that are processed as soon as they arrive are not
 // copied, and an empty buffer takes no memory.
@@ -24,6 +27,9 @@
 		return chunk
 	}
 	if len(chunk) > 0 {
+		if missing := len(b.data) + len(chunk) - cap(b.data); missing > 0 {
+			b.data = slices.Grow(b.data, max(len(chunk), len(b.data))) // doubles it: less garbage than append leaves
+		}
 		b.data = append(b.data, chunk...)
 		b.account.Set(now, cap(b.data))
 	}
