proxyserver: one peer's reports do not take all places of others

Callers saw: while one proxy reported at full speed and the owner was busy, reports of other proxies never arrived.

Cause: a full lane drops what comes next, whoever has filled it.

Change: beyond three quarters of the lane, a connection with an eighth of the lane waiting gets no further place; its reports are counted as lost.

Tests: TestReportsOfOthersFindPlaceInTheLane fails before (the other's report is not among the 4,096 events) and passes after.

--- a/proxyserver/connections.go
+++ b/proxyserver/connections.go
@@ -1,6 +1,7 @@
 package proxyserver
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -25,8 +26,9 @@
 	received        *inbound.Buffer
 	unsent          *inbound.Account
 	acceptedAt      time.Time
-	receivedAt      time.Time // when bytes last arrived
-	ackPendingSince time.Time // start of the present or last period with a pending acknowledgement
+	receivedAt      time.Time    // when bytes last arrived
+	ackPendingSince time.Time    // start of the present or last period with a pending acknowledgement
+	queuedReports   atomic.Int64 // load reports that wait for the owner; used by the event loop and the owner
 	closed          bool
 
 	// connected is the event that connected the stream. Only the owner uses it, and resets HasDefaultTableOnly once a table is
--- a/proxyserver/coordinator.go
+++ b/proxyserver/coordinator.go
@@ -28,6 +28,10 @@
 	// laneCapacity is the number of inputs that can wait for the owner in each lane of the mailbox. It holds the reports of one
 	// second at ten times the expected rate.
 	laneCapacity = 4096
+	// sharedLaneCapacity is the number of waiting load reports up to which any connection may add one. Beyond it, only connections with
+	// fewer than maxLaneShare waiting reports may.
+	sharedLaneCapacity = laneCapacity * 3 / 4
+	maxLaneShare       = laneCapacity / 8
 	// reservedDescriptors is the number of descriptors that are not available to connections. They are used by the standard
 	// streams, the listener, the pollers, the calls to discovery, health checks and their name look-ups, and the log.
 	reservedDescriptors = 13 + maxConcurrentCalls + maxConcurrentHealthChecks
--- a/proxyserver/handover.go
+++ b/proxyserver/handover.go
@@ -11,9 +11,11 @@
 func (s *server) deliver(c *connection, event policyapi.Event) {
 	switch event.(type) {
 	case policyapi.EndpointLoad, policyapi.ProxyLoad:
-		if !s.mailbox.TryPut(input{connection: c, event: event}) {
+		if s.exceedsLaneShare(c) || !s.mailbox.TryPut(input{connection: c, event: event}) {
 			s.counters.lostReports.Add(1)
+			return
 		}
+		c.queuedReports.Add(1)
 	case policyapi.ProxyConnected:
 		s.streams[c] = true
 		s.enqueue(input{connection: c, event: event})
@@ -22,6 +24,12 @@
 	}
 }
 
+// exceedsLaneShare reports whether the lane of reports is filling up and the connection has a large share of it: one peer that reports at
+// full speed must not fill the places of others.
+func (s *server) exceedsLaneShare(c *connection) bool {
+	return s.mailbox.Len() > sharedLaneCapacity && c.queuedReports.Load() >= maxLaneShare
+}
+
 // enqueue sends the owner an input that must not be lost. If the urgent lane rejects it, because the lane is full or because
 // another goroutine has taken the place, it and later inputs wait in the backlog and are sent later, in order; the event loop
 // continues to answer PING, to close connections and to check timeouts.
--- a/proxyserver/loop.go
+++ b/proxyserver/loop.go
@@ -55,6 +55,9 @@
 // accept appends the events that follow from an input to a batch.
 func (c *Coordinator) accept(ctx context.Context, batch []policyapi.Event, in input) []policyapi.Event {
 	switch event := in.event.(type) {
+	case policyapi.EndpointLoad, policyapi.ProxyLoad:
+		in.connection.queuedReports.Add(-1)
+		return append(batch, event)
 	case policyapi.ProxyConnected:
 		return c.acceptConnected(batch, in.connection, event)
 	case policyapi.ProxyDisconnected:
--- a/proxyserver/server_test.go
+++ b/proxyserver/server_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -159,6 +160,31 @@
 	}
 }
 
+// While the owner is busy, one peer that reports at full speed does not take the places of other peers' reports in the owner's lane.
+func TestReportsOfOthersFindPlaceInTheLane(t *testing.T) {
+	coordinator, ctx := newSteppedCoordinator(t, newManualDiscovery(t).address(), 256)
+	srv := &testServer{t: t, coordinator: coordinator}
+	flooding, sound := srv.subscribe(1), srv.subscribe(2)
+	report := resp.Append(nil, strings.Split("RATE sidecar 1 kind view n 5 bad 0 window 1000", " ")...)
+	_, _ = flooding.Write(bytes.Repeat(report, 2*laneCapacity))
+	flooding.ping()
+	sound.send("RATE sidecar 2 kind view n 7 bad 0 window 1000")
+	sound.ping()
+	batch := acceptUntil(ctx, t, coordinator, "report of the sound proxy", func(batch []policyapi.Event) bool {
+		return slices.ContainsFunc(batch, func(event policyapi.Event) bool {
+			load, is := event.(policyapi.ProxyLoad)
+			return is && load.Proxy == 2
+		})
+	})
+	if len(batch) < sharedLaneCapacity {
+		t.Errorf("%d events are accepted, want at least the %d places that any connection may take", len(batch), sharedLaneCapacity)
+	}
+	flooding.ping()
+	flooding.send("RATE sidecar 1 kind view n 5 bad 0 window 1000")
+	flooding.ping()
+	acceptUntil(ctx, t, coordinator, "report after the lane was emptied", func(batch []policyapi.Event) bool { return len(batch) > 0 })
+}
+
 // If all connections are identified, a stream that is silent while an acknowledgement is pending is closed in favor of a new
 // connection. Other streams are not closed.
 func TestSilentStreamIsEvicted(t *testing.T) {
