daemon: a flood of failing requests ends with its connection

Callers saw: while a hundred clients asked at full speed for paths that do not exist, another request took 1,012 ms, eight were answered in 5 s, one of five reports was accepted, and the process took 347 MB.

Cause: a request that fails is answered on the event loop at once, so a client that sends nothing else never waits for the owner.

Change: after a hundred failed requests within a second, other than 5xx, a connection is closed once they are answered.

--- a/cmd/porthub/heldbytes_serve_test.go
+++ b/cmd/porthub/heldbytes_serve_test.go
@@ -154,6 +154,14 @@
 			}
 		}
 	},
+	"paths that do not exist": func(conn net.Conn) {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		for n := 0; ; n++ {
+			if _, err := fmt.Fprintf(conn, "GET /nothing-%d HTTP/1.1\r\nHost: x\r\n\r\n", n); err != nil {
+				return
+			}
+		}
+	},
 }
 
 // With a hundred clients at once that stop in a body, write one in pieces after a head of many fields, send large unsound bodies, read no
--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -27,6 +27,9 @@
 	// maxTurnBytes is how much of a connection's requests is served before other connections are. It is more than one read returns, so
 	// that requests do not accumulate.
 	maxTurnBytes = 2 * readBufferBytes
+	// maxFailures is the number of requests in a row, within failurePeriod, that may fail before the connection is closed.
+	maxFailures   = 100
+	failurePeriod = time.Second
 	// maxReasonBytes bounds the text of an error, which may quote the request.
 	maxReasonBytes = 512
 )
@@ -57,8 +60,9 @@
 	parser         http1.Parser     // of the incomplete request
 	bodyBytes      atomic.Int64     // of the request that is being processed
 	closed         bool
-	requestBeganAt time.Time              // when the incomplete request in the buffer began; zero if there is none
-	requests       int                    // number of requests received
+	requestBeganAt time.Time // when the incomplete request in the buffer began; zero if there is none
+	requests       int       // number of requests received
+	failures       failureLimit
 	busy           atomic.Bool            // a response is pending: the next request is not read yet
 	cancelPoll     atomic.Pointer[func()] // cancels the last poll; nil if there was none
 
@@ -96,7 +100,7 @@
 // readRequests reads and serves the requests at the front of a buffer, and returns their total size.
 func (s *server) readRequests(conn *connection, now time.Time, buffer []byte) (taken int, action gnet.Action) {
 	for taken < maxTurnBytes {
-		if conn.busy.Load() || conn.closed {
+		if conn.busy.Load() || conn.closed || conn.failures.isExceeded {
 			return taken, gnet.None
 		}
 		size, action := s.readRequest(conn, now, buffer[taken:])
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -34,7 +34,7 @@
 	server     *server
 	connection *connection
 	request    *http.Request
-	body       []byte
+	body       []byte // valid only until serve returns
 }
 
 // serve handles one request. The response is sent at once, after the core has processed the input or, for a poll, when the hub
@@ -73,11 +73,18 @@
 	x.server.respond(x.connection, status, contentType, body)
 }
 
-// fail responds with an error and counts a rejection. It must be called by the connection's event loop.
+// fail responds with an error and counts a rejection. It must be called by the connection's event loop. A connection whose requests fail
+// too often, for reasons of the client, is closed after the response.
 func (x *exchange) fail(status int, reason string) {
 	reason = truncate(reason, maxReasonBytes)
 	x.server.countRejection(x.request.Method+" "+x.request.URL.Path, reason)
 	x.respond(status, textType, []byte(reason+"\n"))
+	if status >= http.StatusInternalServerError {
+		return
+	}
+	if x.connection.failures.record(time.Now()); x.connection.failures.isExceeded {
+		_ = x.connection.gnetConn.Close()
+	}
 }
 
 // truncate returns at most the first bytes of a text, without a part of a character at the end.
--- a/daemon/overload_test.go
+++ b/daemon/overload_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +15,30 @@
 	"porthub/xds"
 )
 
+// A connection whose requests fail at full speed is closed after maxFailures responses, so that it does not take the time of its event
+// loop from others. Failures at a lower rate do not close it.
+func TestFloodOfFailingRequestsIsClosed(t *testing.T) {
+	r := startTestDaemon(t, nil)
+	const failing = "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n"
+	flood := r.dialAndSend(strings.Repeat(failing, 3*maxFailures))
+	_ = flood.SetReadDeadline(time.Now().Add(10 * time.Second))
+	responses, err := io.ReadAll(flood)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.Fatal("the connection is not closed")
+	}
+	if answered := bytes.Count(responses, []byte("404 Not Found")); answered > maxFailures+1 {
+		t.Errorf("%d requests were answered, want at most %d", answered, maxFailures+1)
+	}
+	limit := failureLimit{}
+	for n := range 10 * maxFailures {
+		limit.record(time.Unix(0, 0).Add(time.Duration(n) * 2 * failurePeriod / maxFailures))
+	}
+	if limit.isExceeded {
+		t.Error("the limit is exceeded by failures at half its rate")
+	}
+}
+
 // The error for a large unsound request quotes only the beginning of it.
 func TestErrorTextIsBounded(t *testing.T) {
 	r := startTestDaemon(t, nil)
