daemon: what a closed connection has asked for is not done afterward

Callers saw: an operator's client gave up and closed its connection while the core was busy; its drain took effect afterward, though nobody had been told so. A poll that was read before its connection ended took one of the places of pending polls for up to its whole wait (25 s), as nothing canceled it.

Cause: an operation in the mailbox did not know of its connection. A poll becomes pending after its acknowledgement was processed, which may be after OnClose looked for a poll to cancel.

Change: an operation is not carried out once its connection is closed, and a poll is canceled if its connection has closed before it became pending.

Tests, both fail before and pass after, three times each: TestCommandOfClosedConnectionHasNoEffect ("drain: maintenance, want no drain"), TestPollOfClosedConnectionIsNotPending ("1 polls are pending, want none"). Further requests in the connection's buffer were never served after its end.

--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -59,7 +59,7 @@
 	unsent         *inbound.Account // bytes of responses that the peer has not read yet
 	parser         http1.Parser     // of the incomplete request
 	bodyBytes      atomic.Int64     // of the request that is being processed
-	closed         bool
+	closed         atomic.Bool
 	requestBeganAt time.Time // when the incomplete request in the buffer began; zero if there is none
 	requests       int       // number of requests received
 	failures       failureLimit
@@ -100,7 +100,7 @@
 // readRequests reads and serves the requests at the front of a buffer, and returns their total size.
 func (s *server) readRequests(conn *connection, now time.Time, buffer []byte) (taken int, action gnet.Action) {
 	for taken < maxTurnBytes {
-		if conn.busy.Load() || conn.closed || conn.failures.isExceeded {
+		if conn.busy.Load() || conn.closed.Load() || conn.failures.isExceeded {
 			return taken, gnet.None
 		}
 		size, action := s.readRequest(conn, now, buffer[taken:])
@@ -192,7 +192,7 @@
 	s.releaseBody(conn)
 	conn.busy.Store(false)
 	_ = conn.gnetConn.AsyncWrite(http1.EncodeResponse(status, contentType, body, false), func(c gnet.Conn, err error) error {
-		if err != nil || conn.closed {
+		if err != nil || conn.closed.Load() {
 			return nil
 		}
 		s.updateUnsent(conn, time.Now())
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -95,9 +95,16 @@
 	return strings.ToValidUTF8(text[:maxBytes], "")
 }
 
-// query queues an operation with enqueue and responds with its result.
+// query queues an operation with enqueue and responds with its result. If the connection ends before that, the operation is not carried
+// out: its client has not been told that it was, and may have sent it again.
 func (x *exchange) query(enqueue func(mailboxItem) bool, run operation) {
-	item := mailboxItem{query: run, reply: func(text []byte) { x.respond(http.StatusOK, jsonType, text) }}
+	runUnlessClosed := func(core *coordinator.Core) []byte {
+		if x.connection.closed.Load() {
+			return nil
+		}
+		return run(core)
+	}
+	item := mailboxItem{query: runUnlessClosed, reply: func(text []byte) { x.respond(http.StatusOK, jsonType, text) }}
 	if !enqueue(item) {
 		x.fail(http.StatusServiceUnavailable, busyReason)
 	}
@@ -206,6 +213,9 @@
 		return
 	}
 	x.connection.cancelPoll.Store(&cancel)
+	if x.connection.closed.Load() { // OnClose may have run before cancelPoll was set
+		cancel()
+	}
 }
 
 // respondToPoll responds to a poll. The hub calls it, from any goroutine, with a nil delivery and no error if nothing is new.
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -237,3 +237,9 @@
 	}})
 	return sync.OnceFunc(func() { close(release) })
 }
+
+// closeIdleConnections closes the idle connections of the default client, and reports whether the daemon has no connection.
+func (r *testDaemon) closeIdleConnections() bool {
+	http.DefaultClient.CloseIdleConnections()
+	return r.daemon.server.connections.Size() == 0
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -149,7 +149,7 @@
 	if !ok {
 		return gnet.None
 	}
-	conn.closed = true
+	conn.closed.Store(true)
 	conn.received.Close()
 	conn.unsent.Close()
 	s.releaseBody(conn)
