xdspoll: polls under ever new names leave no state

Callers saw: while one client polled under ever new names of an unknown zone, 25,876 in 5 s, porthub serve grew by 23 MB and did not shrink.

Cause: the hub made a state for each name and removed none.

Change: a gateway that nothing was published for is forgotten with its last poll.

Tests: TestPollsUnderNewNamesLeaveNoState fails before (100 states after 100 names) and passes after.

--- a/xdspoll/hub.go
+++ b/xdspoll/hub.go
@@ -96,7 +96,8 @@
 	return due
 }
 
-// remove removes a poll from the pending ones, and reports whether it was still pending. The caller holds the mutex.
+// remove removes a poll from the pending ones, and reports whether it was still pending. A gateway that nothing was published for is
+// forgotten with its last poll: clients may poll under ever new names. The caller holds the mutex.
 func (h *Hub) remove(gateway *gatewayState, w *waiter) bool {
 	if w.done {
 		return false
@@ -105,6 +106,9 @@
 	w.timer.Stop()
 	delete(gateway.waiters, w)
 	h.pending--
+	if len(gateway.waiters) == 0 && gateway.count == 0 {
+		delete(h.gateways, w.request.Gateway)
+	}
 	return true
 }
 
@@ -136,9 +140,9 @@
 func (h *Hub) admit(request Request) (result pollResult, cancel func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	gateway := h.gateway(request.Gateway)
+	gateway := h.gateways[request.Gateway]
 	switch {
-	case gateway.hasUpdate(request):
+	case gateway != nil && gateway.hasUpdate(request):
 		return pollAnswered, func() {}
 	case request.MaxWait <= 0:
 		h.stats.Unchanged++
@@ -147,6 +151,7 @@
 		h.stats.Rejected++
 		return pollRejected, func() {}
 	}
+	gateway = h.gateway(request.Gateway)
 	waiting := &waiter{request: request}
 	gateway.waiters[waiting] = true
 	h.pending++
--- a/xdspoll/hub_test.go
+++ b/xdspoll/hub_test.go
@@ -271,3 +271,22 @@
 		t.Error("a delta with an empty resource was applied, want an error")
 	}
 }
+
+// Polls under ever new names leave nothing behind once they are answered or canceled, unless something was published for the gateway.
+func TestPollsUnderNewNamesLeaveNoState(t *testing.T) {
+	hub := NewHub(10, 1)
+	for n := range 100 {
+		name := coordinator.Gateway(fmt.Sprint("gw-", n))
+		request := Request{Gateway: name, Document: coordinator.EndpointsDocument, MaxWait: time.Hour, Respond: func(*Response, error) {}}
+		cancel, ok := hub.Poll(request)
+		if !ok {
+			t.Fatalf("poll %d is rejected", n)
+		}
+		cancel()
+		request.MaxWait = 0
+		hub.Poll(request)
+	}
+	if len(hub.gateways) != 0 || hub.Stats().Pending != 0 {
+		t.Errorf("the hub keeps the state of %d gateways and %d pending polls, want none", len(hub.gateways), hub.Stats().Pending)
+	}
+}
