--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -192,8 +192,8 @@
 	s.releaseBody(conn)
 	conn.busy.Store(false)
 	_ = conn.gnetConn.AsyncWrite(http1.EncodeResponse(status, contentType, body, false), func(c gnet.Conn, err error) error {
-		if err != nil || conn.closed.Load() {
-			return nil
+		if conn.closed.Load() {
+			return err
 		}
 		s.updateUnsent(conn, time.Now())
 		if conn.received.Len() > 0 {
