--- a/chaos/load_reports.go
+++ b/chaos/load_reports.go
@@ -99,7 +99,8 @@
 		c.Rules.EmptyTableLimit = o.GracePeriod
 	}
 	connections := 2*o.Gateways + 200 // two for each gateway while it reconnects, and the hostile peers
-	c.Limits = config.Limits{Connections: connections, PerAddress: connections}
+	c.Limits.Connections = connections
+	c.Limits.PerAddress = connections
 	c.Gateways.SilenceTimeout = 10_000_000
 	c.Reports.SamplingLimit = o.MaxLinesPerSecond
 	c.HealthChecks.Allowed = false
--- a/chaos/polls.go
+++ b/chaos/polls.go
@@ -20,7 +20,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"porthub/audit"
-	"porthub/config"
 	"porthub/emulator"
 	"porthub/xds"
 )
@@ -85,7 +84,8 @@
 	c.Gateways.SilenceTimeout = 120_000_000
 	c.Delivery.Poll.MaxWait = 60_000_000
 	c.Delivery.Poll.MaxPending = 4 * gateways
-	c.Limits = config.Limits{Connections: 4 * gateways, PerAddress: 4 * gateways}
+	c.Limits.Connections = 4 * gateways
+	c.Limits.PerAddress = 4 * gateways
 	return &pollMeasurement{
 		scenario:    scenario,
 		dir:         dir,
