--- a/cmd/porthub/heldbytes_serve_test.go
+++ b/cmd/porthub/heldbytes_serve_test.go
@@ -12,12 +12,12 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"porthub/client"
+	"porthub/policyapi"
 	"porthub/xds"
 )
 
@@ -27,6 +27,10 @@
 	serveMemoryMB = 256
 	// serveAnswerTime is the time within which a request of a sound client must be answered: two report periods.
 	serveAnswerTime = 2 * time.Second
+	// serveDrainGrace is the drain grace period, the default of the configuration.
+	serveDrainGrace = 3 * time.Second
+	// removedEndpoint is the endpoint that is removed from the list in the course of a test.
+	removedEndpoint = "127.0.0.1:9002"
 )
 
 // serveProcess is a running `porthub serve`.
@@ -34,7 +38,8 @@
 	*exec.Cmd
 	t        *testing.T
 	addr     string
-	filesDir string
+	filesDir string // of the gateways' tables
+	listFile string
 	log      *os.File
 }
 
@@ -52,13 +57,13 @@
 		}
 		return path
 	}
-	list := write("nodes.json", `[{"targets": ["127.0.0.1:9001", "127.0.0.1:9002"], "labels": {"zone": "a"}}]`)
-	p := &serveProcess{t: t, filesDir: filepath.Join(dir, "tables")}
+	p := &serveProcess{t: t, filesDir: filepath.Join(dir, "tables"), listFile: filepath.Join(dir, "nodes.json")}
+	p.writeList("127.0.0.1:9001", removedEndpoint)
 	configFile := write("config.json", fmt.Sprintf(`{"coordinator": {"zone": "a"}, "zones": ["a"], "state_dir": %q, "gateways": {"expected": 2},
 		"front": {"files": {"dir": %q}}, "registry": {"file": {"path": %q, "poll": "50ms"}}, "reports": {"period": "1s"}, "probes": {"allowed": false},
 		"limits": {"memory_mb": %d},
 		"request_kinds": [{"name": "view", "repeat": "replayable", "response_target": "750ms", "client_timeout": "2.5s", "payoff": 1}]}`,
-		filepath.Join(dir, "state"), p.filesDir, list, serveMemoryMB))
+		filepath.Join(dir, "state"), p.filesDir, p.listFile, serveMemoryMB))
 	addrFile := filepath.Join(dir, "addr")
 	if p.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
 		t.Fatal(err)
@@ -83,6 +88,17 @@
 	return p
 }
 
+// writeList replaces the list of endpoints.
+func (p *serveProcess) writeList(endpoints ...string) {
+	text := fmt.Sprintf(`[{"targets": ["%s"], "labels": {"zone": "a"}}]`, strings.Join(endpoints, `", "`))
+	if err := os.WriteFile(p.listFile+".new", []byte(text), 0o600); err != nil {
+		p.t.Error(err)
+	}
+	if err := os.Rename(p.listFile+".new", p.listFile); err != nil {
+		p.t.Error(err)
+	}
+}
+
 func (p *serveProcess) output() string {
 	text, _ := os.ReadFile(p.log.Name())
 	return string(text)
@@ -198,30 +214,22 @@
 					}
 				})
 			}
-			var largeReports atomic.Int64
-			running.Go(func() {
-				for ctx.Err() == nil {
-					if err := gateway.report(2000); err != nil {
-						t.Logf("report: %v", err)
-					} else {
-						largeReports.Add(1)
-					}
-					time.Sleep(time.Second)
-				}
-			})
+			var activity gatewayActivity
+			running.Go(func() { activity = gateway.run(ctx, func() { p.writeList("127.0.0.1:9001") }) })
 			answers, longest, err := p.answerTimes(ctx)
 			running.Wait()
 			if err != nil || answers == 0 || longest > serveAnswerTime {
 				t.Errorf("error %v, %d answers, the longest after %s; want none, some, and at most %s: %s", err, answers, longest, serveAnswerTime, p.output())
 			}
-			if largeReports.Load() == 0 {
-				t.Error("no large report was accepted")
+			if activity.acceptedReports == 0 || activity.syncError != nil {
+				t.Errorf("%d large reports were accepted, error of an acknowledgement %v; want some and none", activity.acceptedReports, activity.syncError)
 			}
-			if err := gateway.sync(); err != nil {
-				t.Errorf("the gateway has lost its connection: %v", err)
+			if activity.drainTime == 0 || activity.drainTime > serveDrainGrace {
+				t.Errorf("the gateway's table lost a removed endpoint after %s (0: never), want at most %s", activity.drainTime, serveDrainGrace)
 			}
 			peak := residentPeakMB(t, p.Process.Pid)
-			t.Logf("peak of resident memory %.0f MB, longest wait %s of %d answers, %d large reports", peak, longest, answers, largeReports.Load())
+			t.Logf("peak of resident memory %.0f MB, longest wait %s of %d answers, %d large reports, removal in force after %s",
+				peak, longest, answers, activity.acceptedReports, activity.drainTime)
 			if peak > serveMemoryMB {
 				t.Errorf("peak of resident memory is %.0f MB, want at most the configured %d MB", peak, serveMemoryMB)
 			}
@@ -268,6 +276,49 @@
 	return nil
 }
 
+// gatewayActivity is what a gateway has seen.
+type gatewayActivity struct {
+	acceptedReports int
+	drainTime       time.Duration // from the removal of removedEndpoint until the gateway's table was without it; 0: never
+	syncError       error         // the first error of an acknowledgement
+}
+
+// run applies tables and sends a large report each second until the context ends. Once the first report was sent it calls remove, which
+// removes removedEndpoint from the list.
+func (g *serveGateway) run(ctx context.Context, remove func()) (activity gatewayActivity) {
+	const steps = 20 // for each report
+	var removedAt time.Time
+	for step := 0; ctx.Err() == nil; step++ {
+		if step%steps == 0 && g.report(2000) == nil {
+			activity.acceptedReports++
+		}
+		if step == steps {
+			removedAt = time.Now()
+			remove()
+		}
+		if err := g.sync(); err != nil && activity.syncError == nil {
+			activity.syncError = err
+		}
+		if activity.drainTime == 0 && !removedAt.IsZero() && !g.lists(removedEndpoint) {
+			activity.drainTime = time.Since(removedAt)
+		}
+		time.Sleep(time.Second / steps)
+	}
+	return activity
+}
+
+// lists reports whether the gateway's table has an endpoint that is not withheld.
+func (g *serveGateway) lists(id policyapi.EndpointID) bool {
+	for _, cluster := range g.state.Snapshot.Clusters {
+		for _, endpoint := range cluster.Endpoints {
+			if endpoint.Endpoint == id && !endpoint.Withheld {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // report sends a load report on a number of endpoints.
 func (g *serveGateway) report(endpoints int) error {
 	report := xds.ClassReport{Class: "view", Arrived: endpoints}
--- a/cmd/porthub/heldbytes_test.go
+++ b/cmd/porthub/heldbytes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -25,8 +26,41 @@
 	heldBytesMemoryMB = 48
 	// heldBytesPeriod is how long the clients stay connected.
 	heldBytesPeriod = 5 * time.Second
+	// heldBytesDrainGrace is the shortest drain grace period of the platform's settings.
+	heldBytesDrainGrace = 3 * time.Second
+	// drainingHost is the host that drains in the course of the test.
+	drainingHost = "s-1"
 )
 
+// drainWhenClosed is a discovery whose watches report that drainingHost drains once a channel is closed.
+func drainWhenClosed(drain <-chan struct{}) http.HandlerFunc {
+	const keepAlive = time.Second
+	return func(w http.ResponseWriter, request *http.Request) {
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-drain:
+				_, _ = io.WriteString(w, `{"seq":8,"whole":false,"hosts":[{"host":"`+drainingHost+
+					`","dial":"127.0.0.1:1","site":"a","class":"m","block":1,"health":"Terminating","share":1,"born_ms":0}]}`+"\n")
+				w.(http.Flusher).Flush()
+				<-request.Context().Done()
+				return
+			case <-request.Context().Done():
+				return
+			case <-time.After(keepAlive):
+				_, _ = io.WriteString(w, "\n")
+			}
+		}
+	}
+}
+
+// lists reports whether the client's table has a host.
+func (c *soakClient) lists(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table[host]
+}
+
 // residentPeakMB returns the largest resident memory that a process has had.
 func residentPeakMB(t *testing.T, pid int) float64 {
 	t.Helper()
@@ -80,7 +114,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := freeAddress(t)
-			discovery, _ := startDiscovery(t, openAndHang)
+			drain := make(chan struct{})
+			discovery, _ := startDiscovery(t, drainWhenClosed(drain))
 			node := startNode(t, address, nodeConfig(address, discovery, 512, 20))
 			node.waitReady()
 			sound, done := node.startSoundClient(300)
@@ -107,6 +142,12 @@
 			_, _ = joining.Write(resp.Append(nil, "RATE", "sidecar", "301", "kind", "view", "n", "1", "bad", "0", "window", "1000", "note", string(large)))
 			joining.send("PING")
 			joining.readUntil(func(received []byte) bool { return bytes.Contains(received, proxyproto.PongReply) })
+			drainedAt := time.Now()
+			close(drain)
+			for sound.lists(drainingHost) && time.Since(drainedAt) < 2*heldBytesPeriod {
+				time.Sleep(10 * time.Millisecond)
+			}
+			drainTime := time.Since(drainedAt)
 			clients.Wait()
 			sound.close()
 			<-done
@@ -115,7 +156,11 @@
 					sound.failure, sound.answered, sound.longestWait, soakAnswerTime)
 			}
 			peak := residentPeakMB(t, node.Process.Pid)
-			t.Logf("peak of resident memory %.0f MB, longest wait of a sound proxy %s, %d answers", peak, sound.longestWait, sound.answered)
+			t.Logf("peak of resident memory %.0f MB, longest wait of a sound proxy %s, %d answers, drain in force after %s",
+				peak, sound.longestWait, sound.answered, drainTime)
+			if drainTime > heldBytesDrainGrace {
+				t.Errorf("a drain was in force after %s, want at most %s", drainTime, heldBytesDrainGrace)
+			}
 			if peak > heldBytesMemoryMB {
 				t.Errorf("peak of resident memory is %.0f MB, want at most the configured %d MB", peak, heldBytesMemoryMB)
 			}
