inbound, proxyserver: no lock and no clock for peers that hold nothing

Asking whether a peer is evicted took a lock twice for each read, and each message sent asked for the time, though nearly all peers hold nothing.

--- a/inbound/budget.go
+++ b/inbound/budget.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,11 +51,12 @@
 
 	closed bool // used by the owner only
 
-	// The fields below are written by the owner with the budget's mutex locked, except for evicted, which any goroutine may set.
-	bytes   int
-	since   time.Time // when the bytes began to be held without progress
-	proven  bool      // the connection has completed a message
-	evicted bool
+	evicted atomic.Bool // set with the budget's mutex locked
+
+	// The fields below are written by the owner with the budget's mutex locked.
+	bytes  int
+	since  time.Time // when the bytes began to be held without progress
+	proven bool      // the connection has completed a message
 }
 
 // NewAccount returns an account without bytes. The function evict must close the connection without waiting.
@@ -84,11 +86,10 @@
 }
 
 // Evicted reports whether the connection is being closed in favor of others.
-func (a *Account) Evicted() bool {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	return a.evicted
-}
+func (a *Account) Evicted() bool { return a.evicted.Load() }
+
+// Bytes returns the bytes that are held. Only the owner may call it.
+func (a *Account) Bytes() int { return a.bytes }
 
 // Close releases the bytes. It must be called when the connection is closed. Later calls of Set have no effect: an event loop may
 // notice the end of a connection while it processes the connection's bytes.
@@ -105,11 +106,11 @@
 		a.since = now
 	}
 	grows := bytes > a.bytes
-	if !a.evicted {
+	if !a.evicted.Load() {
 		b.held += bytes - a.bytes
 	}
 	a.bytes = bytes
-	if a.evicted {
+	if a.evicted.Load() {
 		return nil
 	}
 	if bytes == 0 {
@@ -143,7 +144,7 @@
 		if b.held <= b.limit/remainingDenominator*remainingNumerator {
 			break
 		}
-		a.evicted = true
+		a.evicted.Store(true)
 		b.held -= a.bytes
 		b.evictions++
 		delete(b.holders, a)
--- a/proxyserver/server.go
+++ b/proxyserver/server.go
@@ -95,9 +95,8 @@
 	if loop := s.loop.Load(); loop != nil {
 		_ = (*loop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 			s.flushBacklog()
-			now := time.Now()
-			s.closeLateUnidentified(now)
-			s.updateCounters(now)
+			s.closeLateUnidentified(time.Now())
+			s.updateCounters()
 			return nil
 		}))
 	}
@@ -105,25 +104,28 @@
 }
 
 // updateCounters counts the pending acknowledgements of all streams and the unsent bytes of all connections.
-func (s *server) updateCounters(now time.Time) {
+func (s *server) updateCounters() {
 	pendingAcks := 0
 	for c := range s.streams {
 		pendingAcks += c.session.PendingAcks()
 	}
 	for c := range s.unsentConnections {
-		s.updateUnsent(c, now)
+		s.updateUnsent(c)
 	}
 	s.counters.pendingAcks.Store(int64(pendingAcks))
 	s.counters.unsentBytes.Store(int64(s.unsent.Held()))
 }
 
 // updateUnsent counts the bytes that a peer has not accepted yet.
-func (s *server) updateUnsent(c *connection, now time.Time) {
+func (s *server) updateUnsent(c *connection) {
 	if c.closed {
 		return
 	}
 	unsent := c.conn.OutboundBuffered()
-	c.unsent.Set(now, unsent)
+	if unsent == c.unsent.Bytes() {
+		return
+	}
+	c.unsent.Set(time.Now(), unsent)
 	if unsent > 0 {
 		s.unsentConnections[c] = true
 	} else {
@@ -161,7 +163,7 @@
 	if err != nil || c.conn.OutboundBuffered() > maxUnsentBytes {
 		return gnet.Close
 	}
-	s.updateUnsent(c, c.receivedAt)
+	s.updateUnsent(c)
 	return gnet.None
 }
 
@@ -257,7 +259,7 @@
 		_ = c.conn.EventLoop().Close(c.conn)
 		return
 	}
-	s.updateUnsent(c, time.Now())
+	s.updateUnsent(c)
 }
 
 // closeConnection closes a connection. It may be called from any goroutine.
