registry/eureka: a replaced instance does not pass for one that has left

Callers saw (in a test): after all 18 instances were replaced by others at the same addresses, a registry that lost a half within three minutes removed that half at once, though it answered: 0.44 of the endpoints were listed.

Cause: deltas show a cancellation for three minutes, and the endpoint is known by its address, which another instance had taken since. The cancellation counted again as soon as the address was not listed any more.

Change: a cancellation whose address is listed by another instance is done with, until the instance registers and cancels anew.

Test: TestReplacedInstanceIsNotCanceled fails before with each of five kinds of query and passes after, twice. Two comments are corrected.

--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -27,7 +27,7 @@
 	// maxTurnBytes is how much of a connection's requests is served before other connections are. It is more than one read returns, so
 	// that requests do not accumulate.
 	maxTurnBytes = 2 * readBufferBytes
-	// maxFailures is the number of requests in a row, within failurePeriod, that may fail before the connection is closed.
+	// maxFailures is the number of requests within failurePeriod that may fail before the connection is closed.
 	maxFailures   = 100
 	failurePeriod = time.Second
 	// maxReasonBytes bounds the text of an error, which may quote the request.
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -3,6 +3,7 @@
 //
 // When the total exceeds the limit, the connections that have held the most bytes for the longest time are closed: a client that
 // stops in the middle of a message loses its connection to one that sends messages completely, and one that has never completed a message
-// to one that has. The package does no I/O and starts no
-// goroutines. A [Budget] is safe for concurrent use; an [Account] or [Buffer] belongs to the event loop of its connection.
+// to one that has.
+//
+// The package does no I/O and starts no goroutines. A [Budget] is safe for concurrent use; an [Account] or [Buffer] belongs to the event loop of its connection.
 package inbound
--- a/registry/eureka/deregistration.go
+++ b/registry/eureka/deregistration.go
@@ -22,6 +22,8 @@
 type deregistrations struct {
 	canceled    map[string]deregistration // by Instance.key
 	unexplained map[string]time.Time      // when a snapshot first lacked an instance that no delta has shown as removed, by Instance.key
+	// replaced has the canceled instances whose address another instance has taken since, by Instance.key: the endpoint has not left.
+	replaced map[string]deregistration
 }
 
 // deregistration is an instance that has canceled its registration.
@@ -68,7 +70,8 @@
 			continue
 		}
 		delete(d.unexplained, key)
-		if instance.leaseExpired() {
+		replaced, isReplaced := d.replaced[key]
+		if instance.leaseExpired() || isReplaced && instance.changedAt() <= replaced.instance.changedAt() {
 			continue
 		}
 		if d.canceled == nil {
@@ -78,18 +81,42 @@
 	}
 }
 
-// discard forgets instances that are listed again, and what is older than deltaRetention.
-func (d *deregistrations) discard(now time.Time, listed map[string]Instance) {
+// discard forgets instances that are listed again or whose address is listed again, and what is older than deltaRetention.
+func (d *deregistrations) discard(now time.Time, listed map[string]Instance, options Options) {
+	addresses := map[string]bool{}
+	if len(d.canceled) > 0 {
+		for _, instance := range listed {
+			address, _ := options.address(instance)
+			addresses[address] = true
+		}
+	}
 	maps.DeleteFunc(d.canceled, func(key string, canceled deregistration) bool {
-		_, isListed := listed[key]
-		return isListed || now.Sub(canceled.shownAt) > deltaRetention
+		if _, isListed := listed[key]; isListed || now.Sub(canceled.shownAt) > deltaRetention {
+			return true
+		}
+		address, hasAddress := options.address(canceled.instance)
+		if !hasAddress || !addresses[address] {
+			return false
+		}
+		d.replace(now, key, canceled)
+		return true
 	})
+	maps.DeleteFunc(d.replaced, func(_ string, replaced deregistration) bool { return now.Sub(replaced.shownAt) > deltaRetention })
 	maps.DeleteFunc(d.unexplained, func(key string, since time.Time) bool {
 		_, isListed := listed[key]
 		return isListed || now.Sub(since) > deltaRetention
 	})
 }
 
+// replace records that another instance has taken the address of a canceled one. Deltas show the cancellation for at most
+// deltaRetention from now.
+func (d *deregistrations) replace(now time.Time, key string, canceled deregistration) {
+	if d.replaced == nil {
+		d.replaced = map[string]deregistration{}
+	}
+	d.replaced[key] = deregistration{instance: canceled.instance, shownAt: now}
+}
+
 // endpoints returns the endpoints whose instances have canceled their registration, sorted.
 func (d *deregistrations) endpoints(options Options) []policyapi.EndpointID {
 	var ids []policyapi.EndpointID
@@ -107,7 +134,7 @@
 
 // update returns the source update for the state that the last poll has left.
 func (c *Client) update() membership.SourceUpdate {
-	c.deregistrations.discard(time.Now(), c.cache.instances)
+	c.deregistrations.discard(time.Now(), c.cache.instances, c.options)
 	return membership.SourceUpdate{
 		Source:       c.options.Name,
 		Observations: c.observations,
--- a/registry/eureka/scalein_test.go
+++ b/registry/eureka/scalein_test.go
@@ -249,6 +249,28 @@
 	}
 }
 
+// An instance that has canceled its registration and was replaced by another at the same address does not make a later loss of that one
+// by the registry a cancellation.
+func TestReplacedInstanceIsNotCanceled(t *testing.T) {
+	for query, change := range scaleInQueries {
+		t.Run(query, func(t *testing.T) {
+			t.Parallel()
+			f := newScaleInFleet(t, change)
+			for n := range scaleInFleetSize {
+				f.registry.Remove("CALC", fmt.Sprint("c-", n))
+				f.registry.Put(emulated.Instance{App: "CALC", ID: fmt.Sprint("new-", n), IP: "127.0.0.1", Port: 9000 + n, Status: "UP",
+					Metadata: map[string]string{"zone": "a", "vip": "calc"}})
+				f.advance(scaleInPollInterval)
+			}
+			f.peer.SetFaults(emulated.Faults{MissingShare: 0.5})
+			f.advance(10 * second)
+			if f.leastShare < 1 {
+				t.Errorf("only %.2f of the endpoints were listed at the worst, want all: none has left", f.leastShare)
+			}
+		})
+	}
+}
+
 func loseGradually(f *scaleInFleet) {
 	for share := 1; share <= 5; share++ {
 		f.peer.SetFaults(emulated.Faults{MissingShare: float64(share) / 10})
